Read the configuration again at SIGHUP and move the watch to the new discovery

Cause: src/main.rs had a handler for SIGTERM alone, so SIGHUP ended the process (seen: exited with 129 at 3.04 s, 28 requests lost). LB_DISCOVERY still holds the old address at a reload: config.rs let it go before the file; at a reload the file's word holds now. discovery.rs drops link, watch, backoff and version with the old address and asks the new one for the whole list; a bad file is a line in the log. A dead watch ends 1.5 s past its wait, a dead list call after 3.5 s (4 s before both): from 2 s on, and 4 s after SIGHUP, it counts as told. Tests: node_lifecycle, a_reload_moves... and a_bad_reload...

--- a/src/main.rs
+++ b/src/main.rs
@@ -1,4 +1,4 @@
-//! One real node: the decision module on sockets. Start-up, wiring, SIGTERM and the exit code.
+//! One real node: the decision module on sockets. Start-up, wiring, SIGHUP, SIGTERM and the exit code.
 #![forbid(unsafe_code)]
 
 mod net {
@@ -16,12 +16,13 @@
 use net::upstream::Upstream;
 use pinhead::Balancer;
 use std::error::Error;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::runtime;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::sleep;
@@ -49,10 +50,12 @@
 }
 
 async fn run(config: Config) -> Result<(), Box<dyn Error>> {
+    // Before anything else: a signal without a handler ends the process.
+    let mut terminate = signal(SignalKind::terminate())?;
+    let hangup = signal(SignalKind::hangup())?;
     let Config { name, listen, discovery, seed, sockets, known, settings } = config;
     let listener =
         TcpListener::bind(listen).await.map_err(|error| format!("cannot listen on {listen}: {error}"))?;
-    let mut terminate = signal(SignalKind::terminate())?;
     eprintln!("node {name} listens on {}", listener.local_addr()?);
 
     // A request holds a connection of its client for as long as one to a cache server.
@@ -65,10 +68,12 @@
     let front = Rc::new(Front::new(&settings, Rc::clone(&ready), stage, events.clone()));
     let seq = (!known.hosts.is_empty()).then_some(known.seq);
     let random = fastrand::Rng::with_seed(seed);
-    let watching = Discovery { address: discovery, seq, random, events: events.clone() };
+    let (addresses, address) = watch::channel(discovery);
+    let watching = Discovery { address, seq, random, events: events.clone() };
 
     spawn_local(upstream.clone().sweep());
     spawn_local(watching.run(follow.clone()));
+    spawn_local(reload(hangup, addresses));
     let balancer = Balancer::new(settings, seed);
     spawn_local(Driver::new(balancer, upstream, follow, ready, events).run(known, inputs));
     let serving = spawn_local(serve(listener, front, most));
@@ -81,3 +86,18 @@
     serving.await?;
     Ok(())
 }
+
+/// Takes the configuration's `discovery` anew at each SIGHUP; the rest of it holds from the start. A file that
+/// cannot be used is one line in the log, and what the node had goes on.
+async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
+        match config::load(|name| std::env::var(name).ok().filter(|_| name != config::DISCOVERY)) {
+            Ok(new) => {
+                eprintln!("configuration read again: discovery at {}", new.discovery);
+                // One that stays is not asked again: its watch is as good as it was.
+                discovery.send_if_modified(|held| std::mem::replace(held, new.discovery) != new.discovery);
+            }
+            Err(error) => eprintln!("configuration not taken: {error}"),
+        }
+    }
+}
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -62,6 +62,10 @@
 /// Fewer descriptors than this don't hold the runtime's own and one connection each way.
 const LEAST_SOCKETS: usize = 32;
 
+/// The variable that goes before the file's `discovery` at the start. At a reload it is out of date, since a
+/// process keeps the environment that it started with: the file's word holds then.
+pub const DISCOVERY: &str = "LB_DISCOVERY";
+
 /// Reads the file that `LB_CONFIG` names; the other variables go before what it says.
 pub fn load(variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
     let path = PathBuf::from(variable("LB_CONFIG").ok_or(ConfigError::NoPath)?);
@@ -81,7 +85,7 @@
     Ok(Config {
         name: variable("LB_NAME").unwrap_or(file.name),
         listen: address("LB_LISTEN", file.listen)?,
-        discovery: address("LB_DISCOVERY", file.discovery)?,
+        discovery: address(DISCOVERY, file.discovery)?,
         seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?,
         sockets,
         known: file.known,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -15,7 +15,7 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
@@ -23,7 +23,10 @@
 /// of entries, and a change ends the wait at once, so long waits lose nothing.
 const WATCH: Duration = Duration::from_secs(20);
 /// A watch that says nothing for this long after its wait is over is dead: the network swallowed it.
-const OVERDUE: Duration = Duration::from_secs(4);
+/// At 2 s past the wait what it would have told counts as told.
+const OVERDUE: Duration = Duration::from_millis(1500);
+/// The same for a call that has nothing to wait for but its turn.
+const LIST: Duration = Duration::from_millis(3500);
 const CONNECT: Duration = Duration::from_secs(2);
 /// A list longer than this is no list.
 const LARGEST: usize = 8 << 20;
@@ -111,7 +114,8 @@
 
 /// The client of discovery.
 pub struct Discovery {
-    pub address: SocketAddr,
+    /// Where it answers. A new address ends what was going on at the old one.
+    pub address: watch::Receiver<SocketAddr>,
     /// Version of the list held; `None` where none is.
     pub seq: Option<u64>,
     pub random: fastrand::Rng,
@@ -120,19 +124,40 @@
 
 impl Discovery {
     /// Watches whenever it is told to, until a call fails: then the module is told and says when to try again.
+    /// A new address starts anew at once, from the whole list: versions of the old one mean nothing there, and
+    /// the node serves from the list it holds until that has come.
     pub async fn run(mut self, follow: Rc<Notify>) {
+        let mut address = self.address.clone();
+        let mut told = false;
+        loop {
+            let at = *address.borrow_and_update();
+            tokio::select! {
+                // All that belongs to the old address goes with this future: its link, watch and backoff.
+                () = self.watch_at(at, &follow, told) => return,
+                moved = address.changed() => if moved.is_err() { return },
+            }
+            self.seq = None;
+            told = true;
+        }
+    }
+
+    /// Watches at one address, until the driver has gone. `told`: the module's word to watch holds already.
+    async fn watch_at(&mut self, address: SocketAddr, follow: &Notify, mut told: bool) {
         let mut failures = 0;
-        let mut link = None;
         loop {
-            follow.notified().await;
+            if !std::mem::take(&mut told) {
+                follow.notified().await;
+            }
             if failures > 0 {
                 // Nodes that lost the same discovery together must not come back together.
                 let step = BACKOFF.saturating_mul(1 << (failures - 1).min(8)).min(BACKOFF_MOST);
                 sleep(step.mul_f64(0.5 + self.random.f64())).await;
             }
+            let mut link = None;
             loop {
-                let limit = WATCH + OVERDUE;
-                match timeout(limit, self.call(&mut link)).await.unwrap_or(Err(CallError::Overdue)) {
+                let limit = if self.seq.is_some() { WATCH + OVERDUE } else { LIST };
+                let called = timeout(limit, self.call(address, &mut link)).await;
+                match called.unwrap_or(Err(CallError::Overdue)) {
                     Ok(listing) => {
                         failures = 0;
                         self.seq = Some(listing.seq);
@@ -143,7 +168,6 @@
                     Err(error) => {
                         eprintln!("discovery: {error}");
                         failures += 1;
-                        link = None;
                         if self.events.send(Input::ListingFailed).is_err() {
                             return;
                         }
@@ -154,7 +178,7 @@
         }
     }
 
-    async fn call(&self, link: &mut Option<Link>) -> Result<Listing, CallError> {
+    async fn call(&self, address: SocketAddr, link: &mut Option<Link>) -> Result<Listing, CallError> {
         // A kept connection that discovery has closed meanwhile is no failure of the call.
         let usable = match link {
             Some(link) => link.sender.ready().await.is_ok(),
@@ -165,13 +189,13 @@
         }
         let link = match link {
             Some(link) => link,
-            None => link.insert(self.connect().await?),
+            None => link.insert(connect(address).await?),
         };
         let path = match self.seq {
             Some(seq) => format!("/v1/servers?after={seq}&wait_ms={}", WATCH.as_millis()),
             None => "/v1/servers".to_owned(),
         };
-        let request = Request::get(path).header(HOST, self.address.to_string()).body(Empty::new())?;
+        let request = Request::get(path).header(HOST, address.to_string()).body(Empty::new())?;
         let response = link.sender.send_request(request).await?;
         if response.status() != StatusCode::OK {
             return Err(CallError::Status(response.status()));
@@ -179,16 +203,16 @@
         let body = Limited::new(response.into_body(), LARGEST).collect().await?.to_bytes();
         Ok(serde_json::from_slice(&body)?)
     }
+}
 
-    async fn connect(&self) -> Result<Link, CallError> {
-        let stream = timeout(CONNECT, TcpStream::connect(self.address)).await;
-        let stream = stream.unwrap_or(Err(std::io::ErrorKind::TimedOut.into()))?;
-        stream.set_nodelay(true)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-        let task = tokio::task::spawn_local(async move {
-            // How it ends shows at the call that is out, or at the next one.
-            let _ = connection.await;
-        });
-        Ok(Link { sender, task: task.abort_handle() })
-    }
+async fn connect(address: SocketAddr) -> Result<Link, CallError> {
+    let stream = timeout(CONNECT, TcpStream::connect(address)).await;
+    let stream = stream.unwrap_or(Err(std::io::ErrorKind::TimedOut.into()))?;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let task = tokio::task::spawn_local(async move {
+        // How it ends shows at the call that is out, or at the next one.
+        let _ = connection.await;
+    });
+    Ok(Link { sender, task: task.abort_handle() })
 }
--- a/tests/node_common/mod.rs
+++ b/tests/node_common/mod.rs
@@ -216,6 +216,8 @@
 pub struct Node {
     pub address: SocketAddr,
     pub child: Child,
+    /// Its log, but for the first line.
+    pub log: Arc<Mutex<Vec<String>>>,
     config: std::path::PathBuf,
 }
 
@@ -260,15 +262,21 @@
     /// Starts a node and waits until it listens.
     pub fn start(config: &Value) -> Self {
         let path = write_config(&config.to_string());
-        let mut child = command().env("LB_CONFIG", &path).stderr(Stdio::piped()).spawn().unwrap();
+        // The platform sets this one beside the configuration.
+        let discovery = config["discovery"].as_str().unwrap();
+        let mut command = command();
+        command.env("LB_CONFIG", &path).env("LB_DISCOVERY", discovery);
+        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
         log.read_line(&mut line).unwrap();
         let address = line.trim_end().rsplit(' ').next().unwrap().parse();
         let address = address.unwrap_or_else(|_| panic!("the node's first line: {line}"));
         // The rest of its log must not fill the pipe.
-        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Self { address, child, config: path }
+        let lines: Arc<Mutex<Vec<String>>> = Arc::default();
+        let kept = lines.clone();
+        thread::spawn(move || log.lines().map_while(Result::ok).for_each(|l| kept.lock().unwrap().push(l)));
+        Self { address, child, log: lines, config: path }
     }
 
     /// Starts a node and waits until it is ready for clients.
@@ -294,10 +302,21 @@
     }
 
     pub fn terminate(&self) {
-        let sent = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+        self.signal("-TERM");
+    }
+
+    fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
         assert!(sent.success());
     }
 
+    /// Puts this text in place of the configuration and tells the node.
+    pub fn reload(&self, text: &str) {
+        let new = write_config(text);
+        std::fs::rename(new, &self.config).unwrap();
+        self.signal("-HUP");
+    }
+
     pub fn exit(mut self) -> ExitStatus {
         let mut status = None;
         wait_for("the node's exit", || {
--- a/tests/node_lifecycle.rs
+++ b/tests/node_lifecycle.rs
@@ -82,3 +82,63 @@
         assert!(error.starts_with("pinhead: "), "{error}");
     }
 }
+
+// Guards against a node that SIGHUP ends, that stays with its old discovery, and that asks the new one for what
+// came after a version of the old one's.
+#[test]
+fn a_reload_moves_the_watch_to_the_new_discovery_and_starts_from_its_whole_list() {
+    let servers = [CacheServer::serving("0"), CacheServer::serving("1"), CacheServer::serving("2")];
+    let lists = servers.each_ref().map(|server| Discovery::start(&[server.entry("s-1", "ready")]));
+    let node = Node::ready(&config(lists[0].address));
+    lists[0].wait_until_told(1);
+    // Under way, it stays on its server and is finished.
+    let mut client = node.client();
+    for (i, list) in lists.iter().enumerate().skip(1) {
+        assert_eq!(client.ask(&read("read", 1, 20_000)).body, (i - 1).to_string().as_bytes());
+        node.reload(&config(list.address).to_string());
+        list.wait_until_told(1);
+        assert_eq!(list.asked.lock().unwrap()[0], "/v1/servers");
+        assert_eq!(client.ask(&read("read", 1, 20_000)).body, i.to_string().as_bytes());
+    }
+    // What the old ones say means nothing any more.
+    lists[0].tell(true, &[servers[0].entry("s-1", "ready")]);
+    lists[2].tell(false, &[]);
+    lists[2].wait_until_told(2);
+    assert_eq!(client.ask(&read("read", 1, 20_000)).body, b"2");
+    assert_eq!(lists.each_ref().map(|list| list.calls()), [2, 2, 3]);
+}
+
+// Guards against a reload that takes the node down or leaves it without a list: it serves from the old one for
+// as long as the new discovery says nothing.
+#[test]
+fn a_bad_reload_is_one_line_and_a_silent_discovery_leaves_the_old_list() {
+    let server = CacheServer::serving("value");
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let good = config(discovery.address);
+    let node = Node::ready(&good);
+    discovery.wait_until_told(1);
+    for (i, text) in
+        ["", "{\"name\":", "{}", &good.to_string().replace("8c1f30d27a5be964", "-")].iter().enumerate()
+    {
+        node.reload(text);
+        let said = || {
+            let log = node.log.lock().unwrap();
+            log.iter().filter(|line| line.starts_with("configuration not taken: ")).count()
+        };
+        wait_for("a line in the log", || said() == i + 1);
+        assert_eq!(node.read("read", 1).status(), 200);
+    }
+    // The old watch goes on.
+    discovery.tell(false, &[]);
+    discovery.wait_until_told(2);
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    node.reload(&config(silent.local_addr().unwrap()).to_string());
+    let _call = silent.accept().unwrap();
+    assert_eq!(node.read("read", 1).status(), 200);
+    // From one that never answers the way back is open.
+    let calls = discovery.calls();
+    node.reload(&good.to_string());
+    wait_for("a call", || discovery.calls() > calls);
+    assert_eq!(discovery.asked.lock().unwrap()[calls], "/v1/servers");
+    assert_eq!(node.read("read", 1).status(), 200);
+}
