Excuse time-outs at servers that tell of no queue, and let such a server take what has no room

Ruled out: sockets (76 us to the first attempt), admission, budget (both 0), real queues. Now a time-out at a server whose report of the last 500 ms shows no queue counts neither for its breaker nor for admission, and where none of a key's servers has room one without a queue takes it, up to twice the limit's start. A suspicion ruled out: stale timers do not add up (at most 8 while requests are held).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -23,6 +23,10 @@
 const BUSY: f64 = 0.8;
 /// Up to so many nodes, each meets a server often enough for the queue that it reports to be worth heeding.
 const FEW_NODES: u32 = 100;
+/// For so long what a server said of its queue tells of its present state: reports are this old at most.
+const REPORT_FRESH: Duration = Duration::from_millis(500);
+/// A server that tells of no queue takes up to so many times the limit's start where none has room.
+const OVER_LIMIT: f64 = 2.0;
 /// In-flight limit: its start for all nodes together, its least, its steps for answers in time and late, and
 /// for those late with no queue.
 const LIMIT_START: f64 = 16.0;
@@ -137,6 +141,8 @@
     /// When it was last sent to, and how long after the send before.
     sent: Timestamp,
     gap: Duration,
+    /// When it last told of no queue, unless it told of one since.
+    unqueued: Option<Timestamp>,
 }
 
 /// What answers of a kind of server take against their forecast work: a logarithm, so that no few decide.
@@ -297,8 +303,20 @@
                     });
                     let (entry, breaker, gap) = (entry.clone(), Breaker::new(now), Duration::MAX);
                     let (slot, used, in_flight, limit, sent) = (0, 0, 0, self.limit_start, now);
-                    let fresh =
-                        Server { entry, kind, hash, breaker, slot, used, in_flight, limit, sent, gap };
+                    let unqueued = None;
+                    let fresh = Server {
+                        entry,
+                        kind,
+                        hash,
+                        breaker,
+                        slot,
+                        used,
+                        in_flight,
+                        limit,
+                        sent,
+                        gap,
+                        unqueued,
+                    };
                     self.servers.insert(i, fresh);
                 }
             }
@@ -360,6 +378,12 @@
         calls < MIN_CALLS || f64::from(failed) < COMMON_RATE * f64::from(calls)
     }
 
+    /// Whether it told of no queue of late. One of many nodes cannot tell: it meets a server so seldom that
+    /// the report is older than the bursts of the others.
+    fn unqueued(&self, server: &Server, now: Timestamp) -> bool {
+        self.settings.nodes <= FEW_NODES && server.unqueued.is_some_and(|at| now.since(at) < REPORT_FRESH)
+    }
+
     fn in_use(&self, server: &Server) -> bool {
         server.entry.availability == Availability::Ready && !self.is_origin(&server.entry)
     }
@@ -369,8 +393,15 @@
         let Some(attempt) = held.attempts.get_mut(outcome.attempt as usize) else { return self.keep(held) };
         attempt.status = Some(outcome.status);
         let fetched = outcome.note == Some(Note::Miss) && self.settings.mode == CacheMode::Through;
+        // A time-out brings no report. Where answers of late met no queue it was not that server's load (a
+        // miss waits for the origin, say): less work and a breaker for that server help nobody, and its keys
+        // would be missed elsewhere.
+        let place = self.servers.binary_search_by(|server| server.entry.id.cmp(&outcome.server)).ok();
+        let lately = place.is_some_and(|i| self.unqueued(&self.servers[i], now));
+        let excused = lately && outcome.status == Status::TimedOut;
         let ok = match outcome.status {
             Status::Ok | Status::Miss => Some(true),
+            _ if excused => None,
             Status::Canceled | Status::Ignored => None,
             // A failed fetch is the origin's failure, not the server's: another would ask the same origin.
             _ if fetched => None,
@@ -394,16 +425,15 @@
         self.usual_work += (work - self.usual_work) / 100.0;
         let in_time = outcome.took <= self.class(&held.request).aim.mul_f64(share);
         let spare = outcome.load.busy.is_some_and(|busy| busy < BUSY);
-        // Where nobody waits it is most often the work itself that takes long. One of many nodes cannot tell:
-        // it meets the server so seldom that the report is older than the bursts of the others.
-        let few = self.settings.nodes <= FEW_NODES;
-        let unqueued = few && outcome.load.waiting.is_some_and(|waiting| waiting < 1.0);
+        // Where nobody waits it is most often the work itself that takes long.
+        let reported = outcome.load.waiting.map(|waiting| waiting < 1.0);
+        let unqueued = excused || self.settings.nodes <= FEW_NODES && reported == Some(true);
         if outcome.status == Status::Ok {
             let slot = self.class_slot(&held.request);
             self.usual[slot] += (outcome.took.as_secs_f64() - self.usual[slot]) / 20.0;
         }
         let par = held.request.expected_work.unwrap_or(self.class(&held.request).aim).as_secs_f64().max(1e-6);
-        if let Ok(i) = self.servers.binary_search_by(|server| server.entry.id.cmp(&outcome.server)) {
+        if let Some(i) = place {
             let told = matches!(outcome.status, Status::Ok | Status::TimedOut) && !fetched;
             if told && self.warmth(&self.servers[i].entry, now) >= 1.0 {
                 let kind = &mut self.kinds[self.servers[i].kind];
@@ -411,8 +441,11 @@
                 kind.pace += ((outcome.took.as_secs_f64() / par).max(1e-3).ln() - kind.pace) / kind.answers;
             }
             let server = &mut self.servers[i];
+            if let Some(unqueued) = reported {
+                server.unqueued = unqueued.then_some(now);
+            }
             let (answered, failed) = (ok == Some(true), ok == Some(false));
-            let jammed = failed && matches!(outcome.status, Status::QueueFull | Status::TimedOut);
+            let jammed = excused || failed && matches!(outcome.status, Status::QueueFull | Status::TimedOut);
             if answered && (in_time || spare || unqueued) {
                 self.good += 1.0;
             }
@@ -421,7 +454,7 @@
             } else if answered && !in_time && !spare && unqueued {
                 server.limit = (server.limit - LIMIT_EASE).max(LIMIT_LEAST);
             } else if answered && !in_time && !spare || jammed {
-                self.bad += 1.0;
+                self.bad += f64::from(u8::from(!excused));
                 server.limit = (server.limit - LIMIT_DOWN).max(LIMIT_LEAST);
             }
             server.in_flight = server.in_flight.saturating_sub(1);
@@ -539,7 +572,15 @@
         let mut open = order.filter(usable).take(SPREAD).peekable();
         if open.peek().is_some() {
             let share = |n| if n == 0 { 1.0 } else { SPILL };
-            return open.enumerate().find(|&(n, i)| room(i, share(n))).map(|(_, i)| i);
+            let open: Vec<usize> = open.collect();
+            let found = open.iter().enumerate().find(|&(n, &i)| room(i, share(n))).map(|(_, &i)| i);
+            // Limits steer away from servers that answer late, and all of them do where misses wait for a
+            // slow origin. One that tells of no queue takes what none of the others has room for.
+            let spare = |&&i: &&usize| {
+                let server = &self.servers[i];
+                self.unqueued(server, now) && f64::from(server.in_flight) < self.limit_start * OVER_LIMIT
+            };
+            return found.or_else(|| open.iter().find(spare).copied());
         }
         // Every server is blocked: the key's own server then, rather than none.
         (self.cold_room(own, now) && held.attempts.is_empty() && room(own, 1.0)).then_some(own)
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -175,3 +175,30 @@
     // One of very many nodes has only old reports.
     assert!(sent_at(300, 0.0) < 80, "{} of 100 were sent by one of many", sent_at(300, 0.0));
 }
+
+#[test]
+fn time_outs_at_servers_that_tell_of_no_queue_neither_trip_nor_fill_them() {
+    // The danger: misses time out at a slow origin, every server is blamed for its own, and a fleet that has
+    // time to spare refuses hits and moves keys to servers that lack them.
+    let sent_at = |waiting| {
+        let mut node = Node::with_servers(Settings { nodes: 2, ..settings() }, 6);
+        node.load.waiting = Some(waiting);
+        let mut sent = 0;
+        for key in 0..900 {
+            let id = node.request(0, key, ms(400));
+            sent += usize::from(node.out(&id).is_some());
+            node.pass(ms(10));
+            // Three in ten are left to time out.
+            for id in node.all_out() {
+                if node.requests[&id].request.key.is_some_and(|key| key % 10 > 2) {
+                    node.answer(&id, Status::Ok);
+                }
+            }
+        }
+        let tripped = node.trace.iter().any(|action| matches!(action, Action::Log(_)));
+        (sent, tripped)
+    };
+    assert_eq!(sent_at(0.0), (900, false));
+    let (sent, _) = sent_at(4.0);
+    assert!(sent < 800, "{sent} of 900 were sent past a queue");
+}
