Trust a report of no queue only at nodes with a real part of a server's work

Such a node meets a server some times a second, and in 500 ms the others' bursts have come and gone; FEW_NODES (100) was too wide for this.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -378,10 +378,10 @@
         calls < MIN_CALLS || f64::from(failed) < COMMON_RATE * f64::from(calls)
     }
 
-    /// Whether it told of no queue of late. One of many nodes cannot tell: it meets a server so seldom that
-    /// the report is older than the bursts of the others.
+    /// Whether it told of no queue of late. Only a node that has a real part of a server's work can tell: for
+    /// one of more the report is older than the bursts of the others.
     fn unqueued(&self, server: &Server, now: Timestamp) -> bool {
-        self.settings.nodes <= FEW_NODES && server.unqueued.is_some_and(|at| now.since(at) < REPORT_FRESH)
+        self.limit_start > 1.0 && server.unqueued.is_some_and(|at| now.since(at) < REPORT_FRESH)
     }
 
     fn in_use(&self, server: &Server) -> bool {
