--- a/src/balance.rs
+++ b/src/balance.rs
@@ -11,6 +11,9 @@
 /// one's breaker; the price is that a busy server that dies takes half a second's calls, not the first three.
 const USUAL_PART: u32 = 10;
 const WINDOW: Duration = Duration::from_secs(5);
+/// A class that is turned away where nobody waits is no chance: its breaker's windows are short, since what
+/// was served before would hide it for the rest of a long one.
+const CLASS_WINDOW: Duration = Duration::from_secs(1);
 const COOLDOWN: Duration = Duration::from_secs(6);
 const TRIALS: u32 = 3;
 /// No breaker trips while the other servers fail at this rate: the cause is not that one server's.
@@ -77,6 +80,7 @@
     state: State,
     /// Counts state changes: outcomes of attempts sent in an earlier state say nothing of the present one.
     epoch: u32,
+    window: Duration,
     window_ends: Timestamp,
     calls: u32,
     failures: u32,
@@ -85,13 +89,14 @@
 }
 
 impl Breaker {
-    fn new(now: Timestamp) -> Self {
-        Self { state: State::Closed, epoch: 0, window_ends: now + WINDOW, calls: 0, failures: 0, usual: 0 }
+    fn new(window: Duration, now: Timestamp) -> Self {
+        let (state, window_ends) = (State::Closed, now + window);
+        Self { state, epoch: 0, window, window_ends, calls: 0, failures: 0, usual: 0 }
     }
 
     fn enter(&mut self, state: State, now: Timestamp) {
         let (epoch, usual) = (self.epoch + 1, self.usual);
-        *self = Self { state, epoch, usual, ..Self::new(now) };
+        *self = Self { state, epoch, usual, ..Self::new(self.window, now) };
     }
 
     fn admits(&self, now: Timestamp) -> bool {
@@ -129,7 +134,7 @@
             (State::Closed, Some(ok)) => {
                 if now >= self.window_ends {
                     self.usual = self.calls;
-                    (self.window_ends, self.calls, self.failures) = (now + WINDOW, 0, 0);
+                    (self.window_ends, self.calls, self.failures) = (now + self.window, 0, 0);
                 }
                 self.calls += 1;
                 self.failures += u32::from(!ok);
@@ -280,7 +285,7 @@
             usual,
             usual_work: 0.0,
             kinds: Vec::new(),
-            origin: Breaker::new(Timestamp::default()),
+            origin: Breaker::new(WINDOW, Timestamp::default()),
             kept: HashMap::new(),
             warm: Warm::default(),
             fetching: 0,
@@ -366,10 +371,11 @@
                         self.kinds.push(Kind { name: entry.kind.clone(), pace: 0.0, answers: PACE_PRIOR });
                         self.kinds.len() - 1
                     });
-                    let (entry, breaker, gap) = (entry.clone(), Breaker::new(now), Duration::MAX);
+                    let (entry, breaker, gap) = (entry.clone(), Breaker::new(WINDOW, now), Duration::MAX);
                     let (slot, used, in_flight, limit, sent) = (0, 0, 0, self.limit_start, now);
                     let unqueued = None;
-                    let by_class = self.settings.classes.iter().map(|_| Breaker::new(now)).collect();
+                    let by_class =
+                        self.settings.classes.iter().map(|_| Breaker::new(CLASS_WINDOW, now)).collect();
                     let fresh = Server {
                         entry,
                         kind,
@@ -597,7 +603,7 @@
                 actions.push(Action::Close { server: server.entry.id.clone() });
             }
             // Other failures may be the origin's or the whole server's.
-            let of_class = (answered || outcome.status == Status::QueueFull).then_some(answered);
+            let of_class = (answered || barred).then_some(answered);
             if server.by_class[class].on_outcome(class_epoch, of_class, now)
                 && self.is_classes_own(i, class, now)
             {
