--- a/tests/breaker.rs
+++ b/tests/breaker.rs
@@ -235,3 +235,29 @@
     node.call(7, Status::Reset);
     assert_ne!(node.call(7, Status::Ok), Some(own), "a tenth of the usual calls is enough");
 }
+
+#[test]
+fn a_class_turned_away_where_nobody_waits_is_blocked_soon_and_alone() {
+    // The danger: each such request loses its time there, and what was served before hides it for a whole window;
+    // or the server loses the keys of all classes for one.
+    let (mut node, own) = pair();
+    node.load.waiting = Some(0.0);
+    let ask = |node: &mut Node, status| {
+        let id = node.request(1, 7, ms(400));
+        let (_, server) = node.out(&id).expect("sent");
+        node.answer(&id, if server == own { status } else { Status::Ok });
+        if !node.requests[&id].ended {
+            node.answer(&id, Status::Ok);
+        }
+        server
+    };
+    for _ in 0..50 {
+        assert_eq!(ask(&mut node, Status::Ok), own);
+    }
+    node.pass(ms(1_000));
+    let declined = (0..50).take_while(|_| ask(&mut node, Status::QueueFull) == own).count();
+    assert!((3..=6).contains(&declined), "{declined} were turned away before the breaker opened");
+    for _ in 0..20 {
+        assert_eq!(node.call(7, Status::Ok), Some(own.clone()), "another class");
+    }
+}
