Let a server that tells of no queue take no more than the limit's start where none has room

Limits steer away by such late answers, but the way round them (OVER_LIMIT, 2) fills the same servers up again.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -32,8 +32,6 @@
 const FEW_NODES: u32 = 100;
 /// For so long what a server said of its queue tells of its present state: reports are this old at most.
 const REPORT_FRESH: Duration = Duration::from_millis(500);
-/// A server that tells of no queue takes up to so many times the limit's start where none has room.
-const OVER_LIMIT: f64 = 2.0;
 /// In-flight limit: its start for all nodes together, its least, its steps for answers in time and late, and
 /// for those late with no queue.
 const LIMIT_START: f64 = 16.0;
@@ -737,10 +735,11 @@
             let open: Vec<usize> = open.collect();
             let found = open.iter().enumerate().find(|&(n, &i)| room(i, share(n))).map(|(_, &i)| i);
             // Limits steer away from servers that answer late, and all of them do where misses wait for a
-            // slow origin. One that tells of no queue takes what none of the others has room for.
+            // slow origin. One that tells of no queue takes what none of the others has room for, up to where
+            // limits start: its cores may be shared by many although none of them waits.
             let spare = |&&i: &&usize| {
                 let server = &self.servers[i];
-                self.unqueued(server, now) && f64::from(server.in_flight) < self.limit_start * OVER_LIMIT
+                self.unqueued(server, now) && f64::from(server.in_flight) < self.limit_start
             };
             return found.or_else(|| open.iter().find(spare).copied());
         }
