Bound idle connections of clients by half of the free places

The table has places left, so nothing gives way, and tries never reach the node.

Change: of the places that clients can hold, half of those that no request holds may lie idle. Past that an answer closes its connection, or the longest idle one ends if unused for 2 s; when more come into use, unused ones end. Closing more often makes three old gaps matter, mended with it: a request sent ahead sat in hyper's buffer and went with the connection (the socket's reader now hands over one request at a time, and what was begun is answered first); a connection closed with bytes unread is reset, and the reset can overtake the answer (it is read on for 1 s or 256 KiB); at SIGTERM with a full table, requests in the accept queue were lost (served as places get free).

Tried first: no lingering on answered closes only; it made silent ones linger too and a flood of them took 9 s to pass, so only a connection that has an answer on its way lingers.

--- a/src/main.rs
+++ b/src/main.rs
@@ -14,6 +14,7 @@
 use net::discovery::Discovery;
 use net::driver::Driver;
 use net::server::{serve, Front, Stage};
+use net::table::Table;
 use net::upstream::Upstream;
 use pinhead::Balancer;
 use std::error::Error;
@@ -66,7 +67,8 @@
     let (stages, stage) = watch::channel(Stage::Serving);
     let (follow, ready) = (Rc::new(Notify::new()), Rc::default());
     let upstream = Rc::new(Upstream::new(most, settings.connect_timeout, settings.keepalive));
-    let front = Rc::new(Front::new(&settings, Rc::clone(&ready), stage, events.clone()));
+    let front =
+        Rc::new(Front::new(&settings, Table::new(sockets, most), Rc::clone(&ready), stage, events.clone()));
     let seq = (!known.hosts.is_empty()).then_some(known.seq);
     let random = fastrand::Rng::with_seed(seed);
     let (addresses, address) = watch::channel(discovery);
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -13,11 +13,13 @@
 use pinhead::{ClassId, Name, Settings, TenantId};
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::hash::{DefaultHasher, Hasher};
 use std::pin::pin;
 use std::rc::Rc;
 use std::str::FromStr;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
@@ -33,6 +35,8 @@
 const LARGEST_HEAD: usize = 16 << 10;
 /// After a failed accept (no descriptor left, say) the next one waits: tried at once, it would fail and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Connections that the machine holds unaccepted at the most: the backlog that tokio asks for.
+const ACCEPT_QUEUE: usize = 1024;
 /// A full table in which nothing can give way yet is looked at again after this.
 const ROOM_PAUSE: Duration = Duration::from_millis(10);
 
@@ -63,6 +67,7 @@
 impl Front {
     pub fn new(
         settings: &Settings,
+        table: Table,
         ready: Rc<Cell<bool>>,
         stage: watch::Receiver<Stage>,
         events: UnboundedSender<Input>,
@@ -74,7 +79,7 @@
             stage,
             events,
             tickets: Cell::new(0),
-            table: Rc::default(),
+            table: Rc::new(table),
             open: OpenIds::default(),
         }
     }
@@ -94,26 +99,38 @@
             _ = &mut closing => break,
         };
         match accepted {
-            Ok((stream, slot)) => {
-                let front = front.clone();
-                // In the table at once: room that is made before it is first polled must see it.
-                let place = Place::new(front.table.clone());
-                tokio::task::spawn_local(async move {
-                    connection(stream, place, front).await;
-                    drop(slot);
-                });
-            }
+            Ok((stream, slot)) => spawn_connection(stream, slot, &front),
             Err(error) => {
                 eprintln!("accept: {error}");
                 sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    eprintln!("no further clients are accepted");
+    // What waits in the machine's queue by now was taken all the same: it is served as places become free.
+    for _ in 0..ACCEPT_QUEUE {
+        let Ok(slot) = slots.clone().acquire_owned().await else { break };
+        match poll_fn(|cx| Poll::Ready(listener.poll_accept(cx))).await {
+            Poll::Ready(Ok((stream, _))) => spawn_connection(stream, slot, &front),
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => break,
+        }
+    }
     drop(listener);
     // All slots are free when the last connection has ended. The semaphore is never closed.
     let _ = slots.acquire_many(most as u32).await;
 }
 
+fn spawn_connection(stream: TcpStream, slot: OwnedSemaphorePermit, front: &Rc<Front>) {
+    let front = front.clone();
+    // In the table at once: room that is made before it is first polled must see it.
+    let place = Place::new(front.table.clone());
+    tokio::task::spawn_local(async move {
+        connection(stream, place, front).await;
+        drop(slot);
+    });
+}
+
 async fn accept(
     listener: &TcpListener,
     slots: &Arc<Semaphore>,
@@ -126,16 +143,21 @@
     }
     let slot = slots.clone().acquire_owned().await.map_err(std::io::Error::other)?;
     let (stream, _) = listener.accept().await?;
-    stream.set_nodelay(true)?;
     Ok((stream, slot))
 }
 
 async fn connection(stream: TcpStream, place: Place, front: Rc<Front>) {
-    let service = service_fn(async |request| {
-        place.asked();
-        let response = respond(&front, &place, request).await;
-        place.answered();
-        Ok::<_, Infallible>(response)
+    // It fails only where the client has gone already, as the first read then tells.
+    let _ = stream.set_nodelay(true);
+    let (place, front) = (&place, &*front);
+    let service = service_fn(|request: Request<Incoming>| {
+        // Not in the future: hyper reads on before it polls that for the first time.
+        place.asked(request.body().size_hint().lower() as usize);
+        async move {
+            let response = respond(front, place, request).await;
+            place.answered();
+            Ok::<_, Infallible>(response)
+        }
     });
     let mut http = http1::Builder::new();
     http.max_buf_size(LARGEST_HEAD);
@@ -166,7 +188,7 @@
     };
     // A client that sends what can't be used comes again at once: not on this connection, where it would cost
     // the others the least of waits between two.
-    if !usable || *front.stage.borrow() >= Stage::Leaving {
+    if !usable || *front.stage.borrow() >= Stage::Leaving || !place.keeps() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/tests/node_clients.rs
+++ b/tests/node_clients.rs
@@ -273,3 +273,122 @@
     assert_eq!(usual.ask(&read("read", 3, 20_000)).status(), 200);
     assert_eq!(server.count(), 3);
 }
+
+/// A node for so many descriptors in front of one server that serves everything.
+fn small_node(sockets: usize) -> (CacheServer, Discovery, Node) {
+    let server = CacheServer::serving("value");
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let mut small = config(discovery.address);
+    small["limits"]["sockets"] = json!(sockets);
+    let node = Node::ready(&small);
+    (server, discovery, node)
+}
+
+/// Clients that come one after the other, ask once and keep their connection until the node closes it: the
+/// most connections that they held together. Each must be served.
+fn most_held(node: &Node, clients: u64) -> usize {
+    let (mut held, mut most) = (Vec::new(), 0);
+    for key in 0..clients {
+        let mut client = node.client();
+        let answered = client.ask(&read("read", key, 20_000));
+        assert_eq!(answered.status(), 200, "client {key}");
+        if answered.header("connection") != Some("close") {
+            held.push(client);
+        }
+        held.retain(Client::is_open);
+        most = most.max(held.len());
+    }
+    most
+}
+
+// Guards against clients that ask once and never close: a platform gives its clients a third of a node's
+// descriptors, and once all of these are held by such clients the next one is shut out.
+#[test]
+fn the_next_client_finds_a_place_although_all_earlier_ones_hold_their_connections() {
+    let (server, _discovery, node) = small_node(96);
+    let most = most_held(&node, 200);
+    assert!((8..=16).contains(&most), "{most} of 32 places held by clients that don't use them");
+    assert_eq!(server.count(), 200);
+}
+
+// The same with a flood of connections that say nothing, which holds what is left of the table.
+#[test]
+fn the_next_client_finds_a_place_beside_a_silent_flood_too() {
+    let (server, _discovery, node) = small_node(96);
+    let _flood: Vec<_> = (0..100).map(|_| node.client()).collect();
+    let most = most_held(&node, 100);
+    assert!(most <= 16, "{most} of 32 places held by clients that don't use them");
+    assert_eq!(server.count(), 100);
+}
+
+// Guards against a close where a client would go on: on a calm day connections are kept.
+#[test]
+fn a_client_that_goes_on_keeps_its_connection() {
+    let (server, _discovery, node) = small_node(96);
+    let mut clients: Vec<_> = (0..8).map(|_| node.client()).collect();
+    for round in 0..20 {
+        for (i, client) in clients.iter_mut().enumerate() {
+            let answered = client.ask(&read("read", round * 8 + i as u64, 20_000));
+            assert_eq!((answered.status(), answered.header("connection")), (200, None));
+        }
+    }
+    assert_eq!(server.count(), 160);
+}
+
+// Guards against a request that is lost with the connection that the answer before it closes.
+#[test]
+fn a_request_that_was_sent_ahead_is_answered_before_its_connection_closes() {
+    let (server, _discovery, node) = small_node(40);
+    let mut idle: Vec<_> = (0..4).map(|_| node.client()).collect();
+    for (key, client) in idle.iter_mut().enumerate() {
+        assert_eq!(client.ask(&read("read", key as u64, 20_000)).header("connection"), None);
+    }
+    let mut client = node.client();
+    let put = |key| {
+        read("keyed", key, 20_000)
+            .replace("GET", "PUT")
+            .replace("\r\n\r\n", "\r\nIdempotency-Key: k\r\nContent-Length: 3\r\n\r\nnew")
+    };
+    client.send(&(put(10) + &read("read", 11, 20_000) + &put(12)));
+    let answers: Vec<_> = (0..3).map(|_| client.answer().expect("an answer")).collect();
+    assert_eq!(answers.iter().map(Message::status).collect::<Vec<_>>(), [200; 3]);
+    let closes: Vec<_> = answers.iter().map(|answer| answer.header("connection")).collect();
+    assert_eq!(closes, [None, None, Some("close")]);
+    assert_eq!(client.answer(), None);
+    assert_eq!(server.count(), 7);
+}
+
+// Guards against a reset that overtakes an answer: closed with a body half read, a connection is reset.
+#[test]
+fn a_client_that_is_still_sending_when_its_answer_comes_is_not_reset() {
+    let (server, _discovery, node) = small_node(96);
+    let mut client = node.client();
+    let length = 128 << 10;
+    client.send(&odd(1, &format!("Content-Length: {length}\r\n"), "").replace("GET", "PUT"));
+    assert_eq!(client.answer().expect("an answer").status(), 413);
+    assert_eq!(client.answer(), None);
+    for _ in 0..16 {
+        client.send(&"v".repeat(length / 16));
+        // Long enough for a reset to come back, far shorter than a connection lingers.
+        std::thread::sleep(std::time::Duration::from_millis(2));
+    }
+    assert_eq!(server.count(), 0);
+}
+
+// Guards against connections that nobody uses and that hold all idle places against those who come later.
+#[test]
+fn the_longest_idle_connection_makes_way_for_one_just_used() {
+    let (_server, _discovery, node) = small_node(42);
+    // Nine places: four may lie idle, beside a request under way or not.
+    let mut keys = 0..;
+    let mut ask = |client: &mut Client| {
+        let answered = client.ask(&read("read", keys.next().unwrap(), 20_000));
+        answered.header("connection") != Some("close")
+    };
+    let mut idle: Vec<_> = (0..4).map(|_| node.client()).collect();
+    assert!(idle.iter_mut().all(&mut ask));
+    // Until the first of them is unused for long enough, each further one is told to close.
+    wait_for("a place among the idle", || ask(&mut node.client()));
+    assert_eq!(idle[0].answer(), None);
+    assert!(idle[1..].iter().all(Client::is_open), "one makes way for one");
+}
--- a/tests/node_common/mod.rs
+++ b/tests/node_common/mod.rs
@@ -365,6 +365,15 @@
         }
     }
 
+    /// Whether the node has left the connection open, as far as this end knows.
+    pub fn is_open(&self) -> bool {
+        let stream = self.0.get_ref();
+        stream.set_nonblocking(true).unwrap();
+        let peeked = stream.peek(&mut [0]);
+        stream.set_nonblocking(false).unwrap();
+        peeked.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
     /// `None` where the node has closed the connection.
     pub fn try_ask(&mut self, text: &str) -> Option<Message> {
         self.0.get_mut().write_all(text.as_bytes()).ok()?;
--- a/tests/node_lifecycle.rs
+++ b/tests/node_lifecycle.rs
@@ -3,6 +3,7 @@
 mod node_common;
 
 use node_common::*;
+use serde_json::json;
 use std::sync::{Arc, Condvar, Mutex};
 
 // Guards against a planned restart that loses what was taken.
@@ -142,3 +143,41 @@
     assert_eq!(discovery.asked.lock().unwrap()[calls], "/v1/servers");
     assert_eq!(node.read("read", 1).status(), 200);
 }
+
+// Guards against a planned restart with every place taken: what waits in the machine's queue was taken too.
+#[test]
+fn a_terminated_node_with_a_full_table_answers_those_that_wait_unaccepted_too() {
+    let gate = Arc::new((Mutex::new(false), Condvar::new()));
+    let held = gate.clone();
+    let server = CacheServer::start(move |_| {
+        let open = held.0.lock().unwrap();
+        drop(held.1.wait_timeout_while(open, PATIENCE, |open| !*open).unwrap());
+        Does::Answer(answer("200 OK", "", "value"))
+    });
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let mut small = config(discovery.address);
+    small["limits"]["sockets"] = json!(40);
+    let node = Node::ready(&small);
+    // Eight places; the module may hold some back at first, but all are taken.
+    let mut clients: Vec<_> = (0..8).map(|_| node.client()).collect();
+    for (key, client) in clients.iter_mut().enumerate() {
+        client.send(&read("read", key as u64, 60_000));
+    }
+    wait_for("attempts", || server.count() == 8);
+    let mut waiting: Vec<_> = (0..3).map(|_| node.client()).collect();
+    for (key, client) in waiting.iter_mut().enumerate() {
+        client.send(&read("read", 8 + key as u64, 60_000));
+    }
+    node.terminate();
+    let closing = || node.log.lock().unwrap().iter().any(|line| line == "no further clients are accepted");
+    wait_for("the end of accepting", closing);
+    *gate.0.lock().unwrap() = true;
+    gate.1.notify_all();
+    for client in clients.iter_mut().chain(&mut waiting) {
+        let served = client.answer().expect("the answer to what was taken");
+        assert_eq!((served.status(), served.header("connection")), (200, Some("close")));
+        assert_eq!(client.answer(), None);
+    }
+    assert!(node.exit().success());
+    assert_eq!(server.count(), 11);
+}
