Split the sources into a workspace: decide, node and wirehost, arrows pointing down only

Need: the decisions, the daemon and the adapter grow apart, and stand-ins and further fronts come beside them. The clients' side and the driver, and discovery and the driver, imported each other.

Change: crates/decide (api, balance, and platform: settings and load reports in the platform's words), crates/node (the daemon; fronts/ has a file for each protocol), crates/wirehost (the adapter). Files moved, tests with them. What two files shared has its own: input (what reaches the driver), listing (discovery's list), stage. Behaviour is the same.

--- /dev/null
+++ b/crates/decide/src/platform.rs
@@ -0,0 +1,163 @@
+//! Settings and load reports as the platform words them, on the simulator's wire and in a node's configuration.
+
+use crate::api::*;
+use std::str::FromStr;
+use std::time::Duration;
+use thiserror::Error;
+
+/// Text of the platform's that can't be read.
+#[derive(Debug, Error)]
+#[error("{0}")]
+pub struct PlatformError(String);
+
+impl PlatformError {
+    /// With this text.
+    pub fn new(text: impl Into<String>) -> Self {
+        Self(text.into())
+    }
+}
+
+/// The pairs of name and value in a line, or in nested settings.
+#[derive(Debug)]
+pub struct Fields<'a> {
+    line: &'a str,
+    pairs: Vec<(&'a str, &'a str)>,
+}
+
+impl<'a> Fields<'a> {
+    /// Of `rest`, the part of `line` that holds them.
+    pub fn new(line: &'a str, rest: &'a str) -> Self {
+        Self { line, pairs: rest.split(' ').filter_map(|part| part.split_once('=')).collect() }
+    }
+
+    /// An error that shows the line.
+    pub fn bad(&self, what: &str) -> PlatformError {
+        let shown: String = self.line.chars().take(200).collect();
+        PlatformError(format!("malformed line, {what}: {shown}"))
+    }
+
+    /// The value of this name.
+    pub fn text(&self, name: &str) -> Option<&'a str> {
+        self.pairs.iter().find(|pair| pair.0 == name).map(|pair| pair.1)
+    }
+
+    /// The value of this name, if it is there.
+    pub fn optional<T: FromStr>(&self, name: &str) -> Result<Option<T>, PlatformError> {
+        let parse = |text: &str| text.parse().map_err(|_| self.bad(&format!("unreadable {name}")));
+        self.text(name).map(parse).transpose()
+    }
+
+    /// The value of this name, which must be there.
+    pub fn need<T: FromStr>(&self, name: &str) -> Result<T, PlatformError> {
+        self.optional(name)?.ok_or_else(|| self.bad(&format!("no {name}")))
+    }
+
+    /// A number from 0 to `most`; one that is not finite or lies outside is passed over.
+    pub fn number(&self, name: &str, most: f64) -> Result<Option<f64>, PlatformError> {
+        Ok(self.optional::<f64>(name)?.filter(|value| (0.0..=most).contains(value)))
+    }
+
+    /// A time in microseconds.
+    pub fn micros(&self, name: &str) -> Result<Option<Duration>, PlatformError> {
+        Ok(self.optional(name)?.map(Duration::from_micros))
+    }
+
+    /// `1`, `0`, `true` or `false`.
+    pub fn flag(&self, name: &str) -> Result<Option<bool>, PlatformError> {
+        match self.text(name) {
+            None => Ok(None),
+            Some("1" | "true") => Ok(Some(true)),
+            Some("0" | "false") => Ok(Some(false)),
+            Some(_) => Err(self.bad(&format!("unreadable {name}"))),
+        }
+    }
+}
+
+/// Reads a load report, its values set apart by commas and each from its name by `separator`. A value goes
+/// by its name on the wire or on the sockets; one that is no finite number from 0 up is passed over.
+pub fn read_load(text: &str, separator: char) -> LoadReport {
+    let mut report = LoadReport::default();
+    for (name, value) in text.split(',').filter_map(|part| part.split_once(separator)) {
+        let value = value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0);
+        match name.trim() {
+            "avg_ms" | "latency_ms" => {
+                report.service_time = value.map(|ms| Duration::from_micros((ms * 1000.0) as u64));
+            }
+            "cpu" | "util" => report.busy = value,
+            "waiting" | "queue" => report.waiting = value,
+            _ => {}
+        }
+    }
+    report
+}
+
+/// Reads start-up settings from their pairs of path and value.
+pub fn read_settings(pairs: &[(String, String)]) -> Result<Settings, PlatformError> {
+    let pairs = pairs.iter().map(|(path, value)| (path.as_str(), value.as_str())).collect();
+    settings(&Fields { line: "settings", pairs })
+}
+
+/// The same from a line that holds them.
+pub fn settings(fields: &Fields) -> Result<Settings, PlatformError> {
+    let base = Settings::default();
+    let mut classes = Vec::new();
+    for i in 0..fields.optional::<usize>("lanes.count")?.unwrap_or(0) {
+        let at = |name: &str| format!("lanes.{i}.{name}");
+        let other = Class::default();
+        let window = fields.micros(&at("repeat_window_us"))?.unwrap_or_default();
+        let scope = match fields.text(&at("dedup_scope")) {
+            Some("all") => Scope::All,
+            Some("zone") => Scope::Zone,
+            _ => Scope::Cell,
+        };
+        classes.push(Class {
+            name: fields.need::<String>(&at("name"))?.as_str().into(),
+            effect: match fields.text(&at("effect")) {
+                Some("safe") => Effect::Safe,
+                Some("keyed") => Effect::Keyed { scope, window },
+                _ => Effect::Unsafe,
+            },
+            aim: fields.micros(&at("promise_us"))?.unwrap_or(other.aim),
+            deadline: fields.micros(&at("hard_limit_us"))?.unwrap_or(other.deadline),
+            worth: fields.number(&at("worth"), f64::MAX)?.unwrap_or(other.worth),
+            late_worth: fields.number(&at("late_value"), 1.0)?.unwrap_or(other.late_worth),
+        });
+    }
+    let mut tenants = Vec::new();
+    for i in 0..fields.optional::<usize>("orgs.count")?.unwrap_or(0) {
+        tenants.push(Tenant {
+            name: fields.need::<String>(&format!("orgs.{i}.name"))?.as_str().into(),
+            quota_per_s: fields.number(&format!("orgs.{i}.quota_per_s"), f64::MAX)?.unwrap_or(f64::INFINITY),
+        });
+    }
+    let origin = fields.optional::<i64>("family_info.origin_kind")?.unwrap_or(-1);
+    let kinds = fields.text("shapes").unwrap_or("");
+    let origin_kind = usize::try_from(origin).ok().and_then(|kind| kinds.split(',').nth(kind));
+    let retry_after = fields.flag("limits.retry_after")?.unwrap_or(false);
+    let or = |name: &str, other: Duration| Ok::<_, PlatformError>(fields.micros(name)?.unwrap_or(other));
+    Ok(Settings {
+        zone: fields.text("az").map(Name::from),
+        nodes: fields.optional("balancers")?.unwrap_or(base.nodes),
+        classes,
+        tenants,
+        over_share_worth: fields.number("over_share_worth", 1.0)?.unwrap_or(base.over_share_worth),
+        mode: match (fields.text("family_info.mode"), origin_kind) {
+            (Some("aside"), Some(kind)) => CacheMode::Aside { origin_kind: kind.into() },
+            _ => CacheMode::Through,
+        },
+        sized: matches!(fields.text("weights"), None | Some("nominal")),
+        must_follow: fields.text("membership_mode") == Some("subscribe"),
+        max_attempts: fields.optional("limits.most_tries")?.unwrap_or(base.max_attempts),
+        second_copies: fields.flag("limits.second_copies")?.unwrap_or(base.second_copies),
+        cancelling: fields.flag("limits.cancelling")?.unwrap_or(base.cancelling),
+        probing: fields.flag("limits.probing")?.unwrap_or(base.probing),
+        max_retry_after: or("limits.max_retry_after_us", base.max_retry_after)?
+            .saturating_mul(retry_after.into()),
+        connect_timeout: or("limits.connect_timeout_us", base.connect_timeout)?,
+        keepalive: or("limits.keepalive_us", base.keepalive)?,
+        cold_share: fields.number("safety.cold_share", 1.0)?.unwrap_or(base.cold_share),
+        warm_within: or("safety.warm_within_us", base.warm_within)?,
+        fall_multiple: fields.number("safety.fall_multiple", f64::MAX)?.unwrap_or(base.fall_multiple),
+        fall_span: or("safety.fall_us", base.fall_span)?,
+    })
+}
--- a/tests/aside.rs
+++ b/crates/decide/tests/aside.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use pinhead::*;
+use decide::*;
 
 fn node() -> Node {
     let (settings, origin) = aside();
--- a/tests/breaker.rs
+++ b/crates/decide/tests/breaker.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use pinhead::*;
+use decide::*;
 
 /// Two servers and a key of the first of them.
 fn pair() -> (Node, ServerId) {
--- a/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A node around a `Balancer`: it carries the actions out on paper and checks the rules from outside.
 #![allow(dead_code)]
 
-use pinhead::*;
+use decide::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
--- a/tests/fleet.rs
+++ b/crates/decide/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use pinhead::*;
+use decide::*;
 
 /// `nodes` nodes that know servers a, b, c and so on.
 fn fleet(nodes: u32, servers: u8) -> Vec<Node> {
--- a/tests/hashing.rs
+++ b/crates/decide/tests/hashing.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use pinhead::*;
+use decide::*;
 use std::collections::BTreeMap;
 
 fn owners(node: &mut Node) -> BTreeMap<u64, ServerId> {
--- a/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use pinhead::*;
+use decide::*;
 
 #[test]
 fn retries_stop_when_their_budget_is_spent() {
--- a/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use pinhead::*;
+use decide::*;
 use std::time::Duration;
 
 #[test]
--- a/src/net/config.rs
+++ b/crates/node/src/config.rs
@@ -1,8 +1,8 @@
 //! `LB_CONFIG` and the environment, read into typed values.
 
-use crate::net::discovery::Listing;
-use pinhead::wire::{read_settings, WireError};
-use pinhead::Settings;
+use crate::listing::Listing;
+use decide::platform::{read_settings, PlatformError};
+use decide::Settings;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -19,7 +19,7 @@
     #[error("{0} is not a configuration: {1}")]
     Malformed(PathBuf, serde_json::Error),
     #[error("the configuration's settings: {0}")]
-    Settings(#[from] WireError),
+    Settings(#[from] PlatformError),
     #[error("{0} is not an address and port: {1}")]
     Address(&'static str, String),
     #[error("the configuration's seed is not a hexadecimal number: {0}")]
--- a/src/main.rs
+++ b/crates/node/src/daemon.rs
@@ -1,25 +1,15 @@
-//! One real node: the decision module on sockets. Start-up, wiring, SIGHUP, SIGTERM and the exit code.
-#![forbid(unsafe_code)]
+//! One node: start-up, wiring, SIGHUP and SIGTERM.
 
-mod net {
-    pub mod config;
-    pub mod discovery;
-    pub mod driver;
-    pub mod server;
-    pub mod table;
-    pub mod upstream;
-}
-
-use net::config::{self, Config};
-use net::discovery::Discovery;
-use net::driver::Driver;
-use net::server::{serve, Front, Stage};
-use net::table::Table;
-use net::upstream::Upstream;
-use pinhead::Balancer;
+use crate::config::{self, Config};
+use crate::discovery::Discovery;
+use crate::driver::Driver;
+use crate::fronts::http1::{serve, Front};
+use crate::fronts::table::Table;
+use crate::stage::Stage;
+use crate::upstream::Upstream;
+use decide::Balancer;
 use std::error::Error;
 use std::net::SocketAddr;
-use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -34,17 +24,8 @@
 /// Descriptors left for the runtime, the listener, discovery and the standard streams.
 const SPARE_SOCKETS: usize = 24;
 
-fn main() -> ExitCode {
-    match start() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("pinhead: {error}");
-            ExitCode::FAILURE
-        }
-    }
-}
-
-fn start() -> Result<(), Box<dyn Error>> {
+/// Serves until SIGTERM, as the environment says.
+pub fn start() -> Result<(), Box<dyn Error>> {
     let config = config::load(|name| std::env::var(name).ok())?;
     // A node has one core: one thread, and no locks between its parts.
     let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
--- a/src/net/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,14 +1,13 @@
-//! The list of cache servers: discovery's words as the module's, the watch on changes, backoff.
+//! The client of discovery: the whole list, the watch on changes, backoff.
 
-use crate::net::driver::Input;
+use crate::input::Input;
+use crate::listing::Listing;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use pinhead::{Availability, ServerEntry, Timestamp};
-use serde::Deserialize;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,54 +33,6 @@
 const BACKOFF: Duration = Duration::from_millis(200);
 const BACKOFF_MOST: Duration = Duration::from_secs(3);
 
-/// Discovery's answer: the whole list, or what changed.
-#[derive(Debug, Default, Deserialize)]
-pub struct Listing {
-    pub seq: u64,
-    pub whole: bool,
-    #[serde(default)]
-    pub hosts: Vec<Host>,
-}
-
-/// One cache server in it.
-#[derive(Debug, Deserialize)]
-pub struct Host {
-    host: String,
-    dial: Option<SocketAddr>,
-    site: Option<String>,
-    class: Option<String>,
-    block: Option<u64>,
-    health: String,
-    share: Option<f64>,
-    born_ms: Option<u64>,
-}
-
-impl Host {
-    /// Where it listens; one that is gone may have no address.
-    pub fn dial(&self) -> Option<SocketAddr> {
-        self.dial
-    }
-
-    /// The entry as the module knows it.
-    pub fn entry(&self) -> ServerEntry {
-        let started = self.born_ms.filter(|&at| at > 0);
-        ServerEntry {
-            id: self.host.as_str().into(),
-            zone: self.site.as_deref().map(Into::into),
-            kind: self.class.as_deref().map(Into::into),
-            cell: self.block.unwrap_or(0),
-            availability: match self.health.as_str() {
-                "ready" => Availability::Ready,
-                "gone" => Availability::Gone,
-                // Draining, or a state that this version does not know: keep away from that server.
-                _ => Availability::Draining,
-            },
-            weight: self.share.filter(|share| share.is_finite() && *share >= 0.0).unwrap_or(1.0),
-            started: started.map(|ms| Timestamp::from_micros(ms.saturating_mul(1000))),
-        }
-    }
-}
-
 #[derive(Debug, Error)]
 enum CallError {
     #[error("{0}")]
--- a/src/net/driver.rs
+++ b/crates/node/src/driver.rs
@@ -1,12 +1,12 @@
 //! Drives the module: the only owner of the `Balancer` and of what is open. Events come in by channel and the
 //! module's actions are carried out in order; nothing is picked, repeated or refused here.
 
-use crate::net::discovery::Listing;
-use crate::net::upstream::{Ended, Message, Upstream};
-use bytes::Bytes;
-use pinhead::{
-    Action, Availability, Balancer, ClassId, Event, Outcome, Request, RequestId, ServerEntry, ServerId,
-    ServerList, Status, TenantId, Timestamp,
+use crate::input::{Answer, Input, Taken};
+use crate::listing::Listing;
+use crate::upstream::{Ended, Message, Upstream};
+use decide::{
+    Action, Availability, Balancer, Event, Outcome, Request, RequestId, ServerEntry, ServerId, ServerList,
+    Status, Timestamp,
 };
 use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -23,50 +23,6 @@
 /// How long past a request's time, less the margin, the module has for its own answer.
 const GUARD: Duration = Duration::from_millis(4);
 
-/// A client's request, read whole.
-#[derive(Debug)]
-pub struct Taken {
-    /// A number that is never used twice: a client's own id might come again.
-    pub ticket: u64,
-    pub at: Instant,
-    /// How long the client waits.
-    pub patience: Duration,
-    pub class: ClassId,
-    pub tenant: Option<TenantId>,
-    pub key: Option<u64>,
-    pub expected_work: Option<Duration>,
-    pub write: bool,
-    pub client_retry: bool,
-    pub message: Message,
-    pub answer: oneshot::Sender<Answer>,
-}
-
-/// The final answer to a request.
-#[derive(Debug)]
-pub enum Answer {
-    /// The body of the cache server's answer.
-    Served(Bytes),
-    /// Not done and safe to ask again.
-    Refused { retry_after: Duration },
-    /// Not done, or not known.
-    Failed,
-}
-
-/// What the node's other parts tell the driver.
-#[derive(Debug)]
-pub enum Input {
-    Taken(Box<Taken>),
-    /// The client of this ticket has gone.
-    Left(u64),
-    Ended {
-        id: RequestId,
-        attempt: u32,
-        ended: Ended,
-    },
-    Listing(Listing),
-    ListingFailed,
-}
-
 /// The one clock: it runs evenly, from the system's time at the start, which discovery's times are told in.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
--- a/src/net/server.rs
+++ b/crates/node/src/fronts/http1.rs
@@ -1,16 +1,17 @@
-//! The clients' side: reads requests, hands them to the driver, writes the answers, sees clients leave.
+//! The HTTP/1.1 front: reads requests, hands them to the driver, writes the answers, sees clients leave.
 
-use crate::net::driver::{Answer, Input, Taken};
-use crate::net::table::{Place, Table};
-use crate::net::upstream::{Message, OpenIds, IDEMPOTENCY_KEY, LARGEST_BODY, REQ_DEADLINE, REQ_ID};
+use crate::fronts::table::{Place, Table};
+use crate::input::{Answer, Input, Taken};
+use crate::stage::Stage;
+use crate::upstream::{Message, OpenIds, IDEMPOTENCY_KEY, LARGEST_BODY, REQ_DEADLINE, REQ_ID};
 use bytes::Bytes;
+use decide::{ClassId, Name, Settings, TenantId};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderName, HeaderValue, ALLOW, CONNECTION, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
-use pinhead::{ClassId, Name, Settings, TenantId};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::poll_fn;
@@ -40,16 +41,6 @@
 /// A full table in which nothing can give way yet is looked at again after this.
 const ROOM_PAUSE: Duration = Duration::from_millis(10);
 
-/// How far the node is in stopping.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Stage {
-    Serving,
-    /// It serves as ever, and every answer asks the client to use another connection.
-    Leaving,
-    /// It accepts no more, idle connections close, and what was taken is finished.
-    Closing,
-}
-
 /// What all connections of clients share.
 pub struct Front {
     /// Name and longest patience of each class.
--- a/src/net/table.rs
+++ b/crates/node/src/fronts/table.rs
@@ -1,7 +1,7 @@
 //! The table of clients' connections: what each is at, how long it may be, how many are kept that nobody uses,
 //! and which one gives way when no place is left.
 
-use crate::net::server::Stage;
+use crate::stage::Stage;
 use bytes::Bytes;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use std::cell::{Cell, RefCell};
--- /dev/null
+++ b/crates/node/src/input.rs
@@ -0,0 +1,53 @@
+//! What the node's parts tell the driver, and how it answers them.
+
+use crate::listing::Listing;
+use crate::upstream::{Ended, Message};
+use bytes::Bytes;
+use decide::{ClassId, RequestId, TenantId};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// A client's request, read whole.
+#[derive(Debug)]
+pub struct Taken {
+    /// A number that is never used twice: a client's own id might come again.
+    pub ticket: u64,
+    pub at: Instant,
+    /// How long the client waits.
+    pub patience: Duration,
+    pub class: ClassId,
+    pub tenant: Option<TenantId>,
+    pub key: Option<u64>,
+    pub expected_work: Option<Duration>,
+    pub write: bool,
+    pub client_retry: bool,
+    pub message: Message,
+    pub answer: oneshot::Sender<Answer>,
+}
+
+/// The final answer to a request.
+#[derive(Debug)]
+pub enum Answer {
+    /// The body of the cache server's answer.
+    Served(Bytes),
+    /// Not done and safe to ask again.
+    Refused { retry_after: Duration },
+    /// Not done, or not known.
+    Failed,
+}
+
+/// What the node's other parts tell the driver.
+#[derive(Debug)]
+pub enum Input {
+    Taken(Box<Taken>),
+    /// The client of this ticket has gone.
+    Left(u64),
+    Ended {
+        id: RequestId,
+        attempt: u32,
+        ended: Ended,
+    },
+    Listing(Listing),
+    ListingFailed,
+}
--- /dev/null
+++ b/crates/node/src/listing.rs
@@ -0,0 +1,53 @@
+//! The list of cache servers in discovery's words, and as the module's.
+
+use decide::{Availability, ServerEntry, Timestamp};
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// Discovery's answer: the whole list, or what changed.
+#[derive(Debug, Default, Deserialize)]
+pub struct Listing {
+    pub seq: u64,
+    pub whole: bool,
+    #[serde(default)]
+    pub hosts: Vec<Host>,
+}
+
+/// One cache server in it.
+#[derive(Debug, Deserialize)]
+pub struct Host {
+    host: String,
+    dial: Option<SocketAddr>,
+    site: Option<String>,
+    class: Option<String>,
+    block: Option<u64>,
+    health: String,
+    share: Option<f64>,
+    born_ms: Option<u64>,
+}
+
+impl Host {
+    /// Where it listens; one that is gone may have no address.
+    pub fn dial(&self) -> Option<SocketAddr> {
+        self.dial
+    }
+
+    /// The entry as the module knows it.
+    pub fn entry(&self) -> ServerEntry {
+        let started = self.born_ms.filter(|&at| at > 0);
+        ServerEntry {
+            id: self.host.as_str().into(),
+            zone: self.site.as_deref().map(Into::into),
+            kind: self.class.as_deref().map(Into::into),
+            cell: self.block.unwrap_or(0),
+            availability: match self.health.as_str() {
+                "ready" => Availability::Ready,
+                "gone" => Availability::Gone,
+                // Draining, or a state that this version does not know: keep away from that server.
+                _ => Availability::Draining,
+            },
+            weight: self.share.filter(|share| share.is_finite() && *share >= 0.0).unwrap_or(1.0),
+            started: started.map(|ms| Timestamp::from_micros(ms.saturating_mul(1000))),
+        }
+    }
+}
--- a/src/net/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -1,6 +1,8 @@
 //! Connections to cache servers, one request at a time on each; attempts and how they end.
 
 use bytes::Bytes;
+use decide::platform::read_load;
+use decide::{LoadReport, Note, ServerId, Status};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -9,8 +11,6 @@
 use hyper::rt::ReadBufCursor;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use pinhead::wire::read_load;
-use pinhead::{LoadReport, Note, ServerId, Status};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
--- a/tests/node_clients.rs
+++ b/crates/node/tests/clients.rs
@@ -1,8 +1,8 @@
 //! The node's clients' side, on loopback sockets.
 
-mod node_common;
+mod common;
 
-use node_common::*;
+use common::*;
 use serde_json::json;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Condvar, Mutex};
--- a/tests/node_lifecycle.rs
+++ b/crates/node/tests/lifecycle.rs
@@ -1,8 +1,8 @@
 //! How the node starts and stops, on loopback sockets.
 
-mod node_common;
+mod common;
 
-use node_common::*;
+use common::*;
 use serde_json::json;
 use std::sync::{Arc, Condvar, Mutex};
 
--- a/tests/node_servers.rs
+++ b/crates/node/tests/servers.rs
@@ -1,8 +1,8 @@
 //! The node's side towards cache servers and discovery, on loopback sockets.
 
-mod node_common;
+mod common;
 
-use node_common::*;
+use common::*;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 
--- /dev/null
+++ b/crates/wirehost/src/lib.rs
@@ -0,0 +1,3 @@
+//! The simulator's wire: text lines in, text lines out.
+
+pub mod wire;
--- a/src/bin/pinhead-wirehost.rs
+++ b/crates/wirehost/src/main.rs
@@ -1,11 +1,11 @@
 //! Hosts balancers on the simulator's wire: one isolated `Balancer` per instance, lines in, lines out.
 
-use pinhead::wire::{end_reply, write_action, write_fault, Input, Parser};
-use pinhead::{Action, Balancer, Event, Timestamp};
+use decide::{Action, Balancer, Event, Timestamp};
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
+use wirehost::wire::{end_reply, write_action, write_fault, Input, Parser};
 
 fn main() -> ExitCode {
     match serve() {
--- a/tests/wire.rs
+++ b/crates/wirehost/tests/wire.rs
@@ -1,10 +1,10 @@
 //! The wire: lines in and out, and the host around it.
 
-use pinhead::wire::{write_action, Input, Parser};
-use pinhead::*;
+use decide::*;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 use std::time::Duration;
+use wirehost::wire::{write_action, Input, Parser};
 
 const START: &str = "power_on who=3 prng=5 az=x lanes.count=2 lanes.0.name=read lanes.0.effect=safe lanes.0.promise_us=150000 \
     lanes.0.hard_limit_us=400000 lanes.1.name=log lanes.1.effect=keyed lanes.1.dedup_scope=zone lanes.1.repeat_window_us=600000 \
@@ -233,6 +233,6 @@
 #[test]
 fn a_panic_in_a_decision_is_reported_on_one_line_with_its_text() {
     let mut reply = String::new();
-    pinhead::wire::write_fault(&mut reply, 3, "index\nout of range");
+    wirehost::wire::write_fault(&mut reply, 3, "index\nout of range");
     assert_eq!(reply, "bail_out who=3 body_text=index out of range\n");
 }
