--- /dev/null
+++ b/crates/node/src/rehearse.rs
@@ -0,0 +1,107 @@
+//! `pinhead rehearse`: plays a script and shows what came of it.
+
+use clap::{Args, Subcommand};
+use rig::report::{words, Report};
+use rig::script::read::{time_text, Fault};
+use rig::{scenarios, simulate, Script};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// A script that cannot be used; a play that misses what its script expects ends with 1.
+const UNUSABLE: u8 = 2;
+
+#[derive(Debug, Args)]
+#[command(args_conflicts_with_subcommands = true)]
+pub struct Arguments {
+    #[command(subcommand)]
+    command: Option<Command>,
+    #[command(flatten)]
+    play: Play,
+}
+
+#[derive(Debug, Args)]
+struct Play {
+    /// A script's file, or the name of a scenario that ships with the program
+    #[arg(default_value = scenarios::DEFAULT)]
+    script: String,
+    /// Draws everything anew from this seed, rather than from the script's own
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Prints one line of JSON instead of the table and the picture
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Lists the scenarios that ship with the program
+    List,
+    /// Says what is wrong with a script, and plays nothing
+    Check {
+        /// The script's file
+        file: PathBuf,
+    },
+}
+
+/// Carries a call out; its exit code.
+pub fn run(arguments: Arguments) -> ExitCode {
+    match arguments.command {
+        Some(Command::List) => {
+            for scenario in scenarios::ALL {
+                if let Some(script) = usable(Script::parse(scenario.name, scenario.text)) {
+                    println!("{:<24} {}", script.name, script.about);
+                }
+            }
+            ExitCode::SUCCESS
+        }
+        Some(Command::Check { file }) => match from_file(&file) {
+            Some(script) => {
+                println!("{}: {} over {}", file.display(), script.name, time_text(script.length));
+                for incident in &script.incidents {
+                    let (at, over) = (time_text(incident.at), time_text(incident.over));
+                    println!("  {at}: {} for {over}", words(&incident.what));
+                }
+                ExitCode::SUCCESS
+            }
+            None => ExitCode::from(UNUSABLE),
+        },
+        None => play(&arguments.play),
+    }
+}
+
+fn play(play: &Play) -> ExitCode {
+    let script = match scenarios::named(&play.script) {
+        Some(scenario) => usable(Script::parse(scenario.name, scenario.text)),
+        None => from_file(Path::new(&play.script)),
+    };
+    let Some(mut script) = script else { return ExitCode::from(UNUSABLE) };
+    script.seed = play.seed.unwrap_or(script.seed);
+    if !play.json {
+        eprintln!("{}: {}", script.name, script.about);
+    }
+    let report = Report::new(&script, simulate::play(&script));
+    if play.json {
+        println!("{}", report.json());
+    } else {
+        print!("{}", report.text());
+    }
+    if report.held() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+fn from_file(path: &Path) -> Option<Script> {
+    match std::fs::read_to_string(path) {
+        Ok(text) => usable(Script::parse(&path.display().to_string(), &text)),
+        Err(error) => {
+            eprintln!("{}: {error}; a scenario's name is expected, or a file", path.display());
+            None
+        }
+    }
+}
+
+fn usable(read: Result<Script, Vec<Fault>>) -> Option<Script> {
+    read.inspect_err(|faults| faults.iter().for_each(|fault| eprintln!("{fault}"))).ok()
+}
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,23 @@
+//! Rehearsals of incidents. A [`script`] says what the world is and what goes wrong in it, a player plays it with the
+//! real decisions, and the [`ledger`] judges from outside what every request got.
+//!
+//! - [`Script`] is read from TOML; [`scenarios`] has those that ship.
+//! - [`timeline`] turns its incidents into single changes, [`demand`] its load into single asks. Both are pure: the
+//!   same script gives the same ones, whoever plays it and however things interleave.
+//! - [`world`] holds the stand-ins as state machines without I/O or a clock.
+//! - [`simulate`] is the player in virtual time: one thread, no wall clock, the same bytes every time.
+//! - [`Ledger`] decides the four rules and the figure of service; it knows nothing of how the nodes work.
+//! - [`report`] shows a verdict in the terminal and as JSON.
+
+pub mod demand;
+pub mod draw;
+pub mod ledger;
+pub mod report;
+pub mod scenarios;
+pub mod script;
+pub mod simulate;
+pub mod timeline;
+pub mod world;
+
+pub use ledger::Ledger;
+pub use script::Script;
--- /dev/null
+++ b/crates/rig/src/script/read.rs
@@ -0,0 +1,274 @@
+//! Reads TOML with its places: every fault names file, line, field and what was expected, and one reading finds all of
+//! them. A getter that meets a fault notes it and gives a stand-in, so that the reading goes on.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::fmt::Display;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+use thiserror::Error;
+use toml::de::{DeTable, DeValue};
+use toml::Spanned;
+
+/// What is wrong with a file, and where.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{file}:{line}: {field}: {problem}")]
+pub struct Fault {
+    /// The file, as it was named.
+    pub file: String,
+    /// The line, from 1.
+    pub line: usize,
+    /// The field, with the tables that it is in.
+    pub field: String,
+    /// What was found and what was expected.
+    pub problem: String,
+}
+
+/// A file that is being read.
+#[derive(Debug)]
+pub struct Document<'a> {
+    file: &'a str,
+    text: &'a str,
+    faults: RefCell<Vec<Fault>>,
+}
+
+impl<'a> Document<'a> {
+    /// Reads `text` by `reading`, which takes the top table; all faults, in the order of their lines, or what it gives.
+    pub fn read<T>(file: &'a str, text: &'a str, reading: impl FnOnce(&Table) -> T) -> Result<T, Vec<Fault>> {
+        let document = Document { file, text, faults: RefCell::default() };
+        let parsed = DeTable::parse(text).map_err(|error| {
+            let at = error.span().map_or(0, |span| span.start);
+            document.fault(at, "TOML", error.message().replace('\n', ", "));
+            document.faults.take()
+        })?;
+        let top = Table {
+            document: &document,
+            path: String::new(),
+            at: 0,
+            table: parsed.get_ref(),
+            known: RefCell::default(),
+        };
+        let value = reading(&top);
+        top.finish();
+        let mut faults = document.faults.take();
+        faults.sort_by_key(|fault| fault.line);
+        if faults.is_empty() {
+            Ok(value)
+        } else {
+            Err(faults)
+        }
+    }
+
+    fn fault(&self, at: usize, field: &str, problem: String) {
+        let line = 1 + self.text[..at.min(self.text.len())].matches('\n').count();
+        self.faults.borrow_mut().push(Fault { file: self.file.into(), line, field: field.into(), problem });
+    }
+}
+
+/// One table of a document. Every field that is asked for is known; [`Table::finish`] notes the others.
+#[derive(Debug)]
+pub struct Table<'d> {
+    document: &'d Document<'d>,
+    path: String,
+    at: usize,
+    table: &'d DeTable<'d>,
+    known: RefCell<BTreeSet<&'static str>>,
+}
+
+impl<'d> Table<'d> {
+    fn path_of(&self, name: &str) -> String {
+        if self.path.is_empty() {
+            name.to_owned()
+        } else {
+            format!("{}.{name}", self.path)
+        }
+    }
+
+    fn get(&self, name: &'static str) -> Option<&'d Spanned<DeValue<'d>>> {
+        self.known.borrow_mut().insert(name);
+        self.table.get(name)
+    }
+
+    /// Notes a fault of a field of this table.
+    pub fn fault(&self, name: &str, problem: impl Into<String>) {
+        let at = self.table.get(name).map_or(self.at, |value| value.span().start);
+        self.document.fault(at, &self.path_of(name), problem.into());
+    }
+
+    /// The value that `parse` makes of a field; `None` where it is missing, or is none and so a fault.
+    fn parsed<T>(
+        &self,
+        name: &'static str,
+        expected: &dyn Display,
+        parse: impl Fn(&DeValue) -> Option<T>,
+    ) -> Option<T> {
+        let value = self.get(name)?.get_ref();
+        let parsed = parse(value);
+        if parsed.is_none() {
+            self.fault(name, format!("expected {expected}, found {}", shown(value)));
+        }
+        parsed
+    }
+
+    /// Text that `accept` takes.
+    pub fn text(&self, name: &'static str, expected: &str, accept: impl Fn(&str) -> bool) -> Option<String> {
+        self.parsed(name, &expected, |value| value.as_str().filter(|text| accept(text)).map(str::to_owned))
+    }
+
+    /// One of these words, by its place among them.
+    pub fn word(&self, name: &'static str, words: &[&str]) -> Option<usize> {
+        let expected = format!("one of {}", words.join(", "));
+        self.parsed(name, &expected, |value| words.iter().position(|word| value.as_str() == Some(word)))
+    }
+
+    /// `true` or `false`.
+    pub fn flag(&self, name: &'static str) -> Option<bool> {
+        self.parsed(name, &"true or false", |value| value.as_bool())
+    }
+
+    /// A number in this range.
+    pub fn number(&self, name: &'static str, range: RangeInclusive<f64>) -> Option<f64> {
+        let expected = format!("a number from {} to {}", range.start(), range.end());
+        self.parsed(name, &expected, |value| number(value).filter(|number| range.contains(number)))
+    }
+
+    /// A whole number in this range.
+    pub fn count(&self, name: &'static str, range: RangeInclusive<u64>) -> Option<u64> {
+        let expected = format!("a whole number from {} to {}", range.start(), range.end());
+        self.parsed(name, &expected, |value| whole(value).filter(|count| range.contains(count)))
+    }
+
+    /// A time in this range, such as `"1.5s"`.
+    pub fn time(&self, name: &'static str, range: RangeInclusive<Duration>) -> Option<Duration> {
+        let expected =
+            format!("a time from \"{}\" to \"{}\"", time_text(*range.start()), time_text(*range.end()));
+        self.parsed(name, &expected, |value| {
+            value.as_str().and_then(parse_time).filter(|time| range.contains(time))
+        })
+    }
+
+    /// A list of texts that `accept` takes.
+    pub fn texts(
+        &self,
+        name: &'static str,
+        expected: &str,
+        accept: impl Fn(&str) -> bool,
+    ) -> Option<Vec<String>> {
+        self.parsed(name, &expected, |value| {
+            let items = value.as_array()?.iter().map(|item| item.get_ref().as_str());
+            items.map(|text| text.filter(|text| accept(text)).map(str::to_owned)).collect()
+        })
+    }
+
+    /// What `value` holds, which must be there.
+    pub fn need<T: Default>(&self, name: &'static str, value: Option<T>) -> T {
+        // One that is there and of no use is a fault already.
+        if value.is_none() && !self.table.contains_key(name) {
+            self.document.fault(self.at, &self.path_of(name), "is missing".into());
+        }
+        value.unwrap_or_default()
+    }
+
+    /// Reads a table below this one; `None` where there is none.
+    pub fn table<T>(&self, name: &'static str, reading: impl FnOnce(&Table) -> T) -> Option<T> {
+        let value = self.get(name)?;
+        match value.get_ref() {
+            DeValue::Table(table) => Some(self.below(self.path_of(name), value.span().start, table, reading)),
+            other => {
+                self.fault(name, format!("expected a table, found {}", shown(other)));
+                None
+            }
+        }
+    }
+
+    /// Reads each table of an array below this one; none where there is no such array.
+    pub fn tables<T>(&self, name: &'static str, mut reading: impl FnMut(&Table) -> T) -> Vec<T> {
+        let Some(value) = self.get(name) else { return Vec::new() };
+        let Some(items) = value.get_ref().as_array() else {
+            self.fault(name, format!("expected [[{name}]] tables, found {}", shown(value.get_ref())));
+            return Vec::new();
+        };
+        let mut read = Vec::new();
+        for (i, item) in items.iter().enumerate() {
+            let path = format!("{}[{i}]", self.path_of(name));
+            match item.get_ref() {
+                DeValue::Table(table) => read.push(self.below(path, item.span().start, table, &mut reading)),
+                other => {
+                    let problem = format!("expected a table, found {}", shown(other));
+                    self.document.fault(item.span().start, &path, problem);
+                }
+            }
+        }
+        read
+    }
+
+    fn below<T>(&self, path: String, at: usize, table: &DeTable, reading: impl FnOnce(&Table) -> T) -> T {
+        let below = Table { document: self.document, path, at, table, known: RefCell::default() };
+        let value = reading(&below);
+        below.finish();
+        value
+    }
+
+    fn finish(&self) {
+        let known = self.known.borrow();
+        for name in self.table.keys() {
+            if !known.contains(name.get_ref().as_ref()) {
+                let problem = format!(
+                    "unknown key; known here: {}",
+                    known.iter().copied().collect::<Vec<_>>().join(", ")
+                );
+                self.document.fault(name.span().start, &self.path_of(name.get_ref()), problem);
+            }
+        }
+    }
+}
+
+fn shown(value: &DeValue) -> String {
+    match value {
+        DeValue::String(text) => {
+            let short: String = text.chars().take(40).collect();
+            format!("{short:?}")
+        }
+        DeValue::Integer(integer) => integer.as_str().to_owned(),
+        DeValue::Float(float) => float.as_str().to_owned(),
+        DeValue::Boolean(flag) => flag.to_string(),
+        DeValue::Datetime(_) => "a date".into(),
+        DeValue::Array(_) => "an array".into(),
+        DeValue::Table(_) => "a table".into(),
+    }
+}
+
+fn whole(value: &DeValue) -> Option<u64> {
+    let integer = value.as_integer()?;
+    u64::from_str_radix(integer.as_str(), integer.radix()).ok()
+}
+
+fn number(value: &DeValue) -> Option<f64> {
+    match value {
+        DeValue::Integer(_) => whole(value).map(|whole| whole as f64),
+        DeValue::Float(float) => float.as_str().parse().ok().filter(|number: &f64| number.is_finite()),
+        _ => None,
+    }
+}
+
+const UNITS: [(&str, f64); 4] = [("us", 1.0), ("ms", 1e3), ("s", 1e6), ("min", 60e6)];
+
+/// `"150us"`, `"20ms"`, `"1.5s"`, `"2min"`; `None` for anything else, or for more than a year.
+pub fn parse_time(text: &str) -> Option<Duration> {
+    let split = text.find(|c: char| !c.is_ascii_digit() && c != '.')?;
+    let (count, unit) = text.split_at(split);
+    let micros = count.parse::<f64>().ok()? * UNITS.iter().find(|(name, _)| *name == unit)?.1;
+    (micros < 365.0 * 86_400e6).then(|| Duration::from_micros(micros.round() as u64))
+}
+
+/// The shortest text that [`parse_time`] reads as this time, to the microsecond.
+pub fn time_text(time: Duration) -> String {
+    let micros = time.as_micros();
+    match micros {
+        0 => "0s".into(),
+        _ if micros.is_multiple_of(60_000_000) => format!("{}min", micros / 60_000_000),
+        _ if micros.is_multiple_of(1_000_000) => format!("{}s", micros / 1_000_000),
+        _ if micros.is_multiple_of(1_000) => format!("{}ms", micros / 1_000),
+        _ => format!("{micros}us"),
+    }
+}
--- /dev/null
+++ b/crates/rig/tests/judge.rs
@@ -0,0 +1,251 @@
+//! The judge, tried on nodes that break each rule on purpose. One that lets any of these pass is worthless.
+
+use decide::{
+    Action, Availability, Balancer, Effect, Event, RequestId, Scope, ServerId, ServerList, Settings,
+    Timestamp,
+};
+use rig::ledger::Verdict;
+use rig::script::{Class, Incident, Trouble};
+use rig::simulate::{play, play_with, Decide, Safeguards};
+use rig::Script;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// What a node does in place of, or beside, what the real decisions say.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Breaks {
+    Nothing,
+    AnswersTwice,
+    AnswersLate,
+    Loses,
+    SendsAfterItsAnswer,
+    SendsAfterDrain,
+    RunsTwice,
+    RefusesWhatRan,
+    SendsAllToTheYoungest,
+}
+
+struct Spoilt {
+    real: Balancer,
+    breaks: Breaks,
+    /// All servers ever told of, and when each started.
+    servers: BTreeMap<ServerId, Option<Timestamp>>,
+    drained: Option<ServerId>,
+    late: Vec<(Timestamp, RequestId)>,
+}
+
+const LATE: Duration = Duration::from_secs(5);
+const PATIENT: Duration = Duration::from_secs(1);
+
+impl Spoilt {
+    fn learn(&mut self, event: &Event) {
+        let (Event::Restored(list) | Event::Servers(ServerList::Full(list) | ServerList::Changes(list))) =
+            event
+        else {
+            return;
+        };
+        for entry in list.iter() {
+            self.servers.insert(entry.id.clone(), entry.started);
+            if entry.availability == Availability::Draining {
+                self.drained.get_or_insert(entry.id.clone());
+            }
+        }
+    }
+}
+
+impl Decide for Spoilt {
+    fn handle(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
+        self.learn(&event);
+        let Event::Request(request) = &event else {
+            if let (Breaks::RefusesWhatRan, Event::Outcome(outcome)) = (self.breaks, &event) {
+                if !outcome.finished && !outcome.status.never_ran() {
+                    return actions
+                        .push(Action::Refuse { id: outcome.id.clone(), retry_after: Duration::ZERO });
+                }
+            }
+            while self.late.first().is_some_and(|(at, _)| *at <= now) {
+                actions.push(Action::Fail { id: self.late.remove(0).1 });
+            }
+            return self.real.handle(now, event, actions);
+        };
+        let id = request.id.clone();
+        let to =
+            |server: &ServerId| Action::Send { id: id.clone(), server: server.clone(), timeout: PATIENT };
+        let any = self.servers.keys().next().cloned();
+        match self.breaks {
+            Breaks::AnswersLate => {
+                self.late.push((now + LATE, id));
+                actions.push(Action::Wake { after: LATE });
+            }
+            Breaks::Loses => {}
+            Breaks::RunsTwice => actions.extend(self.servers.keys().take(2).map(to)),
+            Breaks::SendsAfterItsAnswer => {
+                actions.push(Action::Refuse { id: id.clone(), retry_after: Duration::ZERO });
+                actions.extend(any.iter().map(to));
+            }
+            Breaks::SendsAfterDrain if self.drained.is_some() => actions.extend(self.drained.iter().map(to)),
+            Breaks::SendsAllToTheYoungest => {
+                let youngest = self.servers.iter().max_by_key(|(_, started)| **started).map(|(id, _)| id);
+                actions.extend(youngest.map(to));
+            }
+            Breaks::AnswersTwice => {
+                actions.push(Action::Refuse { id: id.clone(), retry_after: Duration::ZERO });
+                actions.push(Action::Fail { id });
+            }
+            _ => self.real.handle(now, event, actions),
+        }
+    }
+}
+
+fn judged(script: &Script, breaks: Breaks) -> Verdict {
+    let mut make = |settings: Settings, seed| -> Box<dyn Decide> {
+        let real = Balancer::new(settings, seed);
+        Box::new(Spoilt { real, breaks, servers: BTreeMap::new(), drained: None, late: Vec::new() })
+    };
+    let guard = match breaks {
+        Breaks::Nothing => Safeguards::ALL,
+        Breaks::AnswersLate | Breaks::Loses => Safeguards { answers_in_time: false, keeps_back: false },
+        _ => Safeguards { answers_in_time: true, keeps_back: false },
+    };
+    play_with(script, guard, &mut make).verdict
+}
+
+fn small(effect: Effect, incidents: Vec<Incident>) -> Script {
+    let mut script = Script { nodes: 3, length: Duration::from_secs(12), incidents, ..Script::default() };
+    script.load.rate = 60.0;
+    script.clients.impatient = 0.0;
+    script.clients.retries = 0;
+    script.classes.truncate(1);
+    script.boxes.truncate(1);
+    script.boxes[0].count = 6;
+    script.classes[0] = Class { effect, ..script.classes[0].clone() };
+    script
+}
+
+fn incident(at: u64, over: u64, what: Trouble) -> Incident {
+    Incident { at: Duration::from_secs(at), over: Duration::from_secs(over), what }
+}
+
+/// Rules broken, from 1 to 4, and the words of the breaches.
+fn broken(script: &Script, breaks: Breaks) -> ([bool; 4], String) {
+    let verdict = judged(script, breaks);
+    let words: Vec<_> = verdict.breaches.iter().map(|breach| breach.what.as_str()).collect();
+    let words = words.join(", ");
+    (verdict.broken.map(|count| count > 0), words)
+}
+
+#[track_caller]
+fn must_break(script: &Script, breaks: Breaks, rule: usize, words: &str) {
+    let (rules, said) = broken(script, breaks);
+    let mut only = [false; 4];
+    only[rule - 1] = true;
+    assert_eq!(rules, only, "{breaks:?}: {said}");
+    assert!(said.contains(words), "{breaks:?}: {said}");
+    assert_eq!(broken(script, Breaks::Nothing), ([false; 4], String::new()), "the same play without it");
+}
+
+#[test]
+fn a_second_answer_breaks_rule_1() {
+    must_break(&small(Effect::Safe, vec![]), Breaks::AnswersTwice, 1, "answered twice");
+}
+
+#[test]
+fn a_late_answer_breaks_rule_1() {
+    must_break(&small(Effect::Safe, vec![]), Breaks::AnswersLate, 1, "after its client gave up");
+}
+
+#[test]
+fn a_lost_request_breaks_rule_1() {
+    must_break(&small(Effect::Safe, vec![]), Breaks::Loses, 1, "never answered");
+}
+
+#[test]
+fn a_send_after_the_final_answer_breaks_rule_1() {
+    must_break(&small(Effect::Safe, vec![]), Breaks::SendsAfterItsAnswer, 1, "after its final answer");
+}
+
+#[test]
+fn a_second_run_of_an_unsafe_request_breaks_rule_2_and_of_a_safe_one_does_not() {
+    must_break(&small(Effect::Unsafe, vec![]), Breaks::RunsTwice, 2, "unsafe to repeat");
+    let verdict = judged(&small(Effect::Safe, vec![]), Breaks::RunsTwice);
+    assert_eq!(verdict.broken, [0; 4], "{:?}", verdict.breaches);
+    assert!(verdict.repeats[0] > 0 && verdict.repeats[2] == 0);
+}
+
+#[test]
+fn a_second_run_of_a_keyed_request_breaks_rule_2_outside_its_scope_or_its_time() {
+    let window = Duration::from_secs(5);
+    let keyed = |scope, window| small(Effect::Keyed { scope, window }, vec![]);
+    // The first two servers stand in two zones and in one cell.
+    must_break(&keyed(Scope::Zone, window), Breaks::RunsTwice, 2, "does not know of the first run");
+    for scope in [Scope::All, Scope::Cell] {
+        let verdict = judged(&keyed(scope, window), Breaks::RunsTwice);
+        assert_eq!(verdict.broken, [0; 4], "{:?}", verdict.breaches);
+        assert!(verdict.repeats[1] > 0);
+    }
+    let mut short = keyed(Scope::All, Duration::from_millis(1));
+    short.load.rate = 200.0;
+    must_break(&short, Breaks::RunsTwice, 2, "its first run is forgotten");
+}
+
+#[test]
+fn a_refusal_of_what_ran_breaks_rule_2() {
+    let errors = vec![incident(2, 5, Trouble::Errors { share: 1.0, rate: 0.5 })];
+    must_break(&small(Effect::Unsafe, errors), Breaks::RefusesWhatRan, 2, "was refused, and it ran");
+}
+
+#[test]
+fn a_send_after_a_drain_breaks_rule_3() {
+    let shrink = Trouble::Shrink { share: 0.1, drain: Duration::from_secs(6) };
+    must_break(
+        &small(Effect::Safe, vec![incident(1, 1, shrink)]),
+        Breaks::SendsAfterDrain,
+        3,
+        "after it was told to stop",
+    );
+}
+
+#[test]
+fn a_cold_server_that_gets_everything_falls_and_breaks_rule_4() {
+    let drain = Duration::from_secs(1);
+    let deploy = Trouble::Deploy { share: 0.1, batch: 0.2, drain, same_address: false };
+    let mut script = small(Effect::Safe, vec![incident(1, 1, deploy)]);
+    script.load.rate = 250.0;
+    must_break(&script, Breaks::SendsAllToTheYoungest, 4, "pushed over");
+}
+
+// Guards against decisions that keep the rules on calm days only: all effects, through everything at once.
+#[test]
+fn the_real_decisions_keep_the_rules_for_every_effect_while_everything_goes_wrong() {
+    let window = Duration::from_secs(3);
+    let effects = [
+        Effect::Safe,
+        Effect::Unsafe,
+        Effect::Keyed { scope: Scope::Zone, window },
+        Effect::Keyed { scope: Scope::Cell, window },
+    ];
+    for (seed, effect) in (1..).zip(effects) {
+        let drain = Duration::from_secs(1);
+        let mut script = small(
+            effect,
+            vec![
+                incident(1, 8, Trouble::Deploy { share: 0.99, batch: 0.19, drain, same_address: true }),
+                incident(2, 3, Trouble::Vanish { share: 0.3 }),
+                incident(
+                    3,
+                    4,
+                    Trouble::RestartNodes { share: 1.0, batch: 0.4, down: drain, killed: seed % 2 == 0 },
+                ),
+                incident(3, 3, Trouble::Errors { share: 0.5, rate: 0.5 }),
+                incident(4, 2, Trouble::Crash { share: 0.3 }),
+                incident(5, 2, Trouble::Pause { share: 0.5 }),
+                incident(6, 3, Trouble::DiscoveryAway),
+                incident(7, 3, Trouble::Surge { factor: 3.0 }),
+            ],
+        );
+        (script.seed, script.clients.retries, script.clients.impatient) = (seed, 3, 0.05);
+        let verdict = play(&script).verdict;
+        assert_eq!(verdict.broken, [0; 4], "{effect:?}, seed {seed}: {:?}", verdict.breaches);
+        assert!(verdict.answers.iter().all(|&count| count > 0), "{effect:?}: {:?}", verdict.answers);
+    }
+}
