Show a rehearsal as one HTML page, measure what plays cost, share how clients behave

Need: operators want to see when a play went wrong, and a second player must not describe the clients again. Change: `--html FILE` writes timelines of service, tries, attempts, refusals, queues, misses and cold servers with the incidents marked (plotters, SVG inside the page, nothing fetched). `cargo bench -p rig` times plays. crates/rig/conduct holds how clients, messages and work behave.

--- a/crates/node/src/rehearse.rs
+++ b/crates/node/src/rehearse.rs
@@ -1,6 +1,7 @@
 //! `pinhead rehearse`: plays a script and shows what came of it.
 
 use clap::{Args, Subcommand};
+use rig::page::page;
 use rig::report::{words, Report};
 use rig::script::read::{time_text, Fault};
 use rig::{scenarios, simulate, Script};
@@ -30,6 +31,9 @@
     /// Prints one line of JSON instead of the table and the picture
     #[arg(long)]
     json: bool,
+    /// Writes the timelines to this file, as one HTML page
+    #[arg(long)]
+    html: Option<PathBuf>,
 }
 
 #[derive(Debug, Subcommand)]
@@ -80,6 +84,13 @@
         eprintln!("{}: {}", script.name, script.about);
     }
     let report = Report::new(&script, simulate::play(&script));
+    if let Some(path) = &play.html {
+        let written = page(&report).and_then(|html| Ok(std::fs::write(path, html)?));
+        if let Err(error) = written {
+            eprintln!("{}: the page could not be written: {error}", path.display());
+            return ExitCode::from(UNUSABLE);
+        }
+    }
     if play.json {
         println!("{}", report.json());
     } else {
--- /dev/null
+++ b/crates/rig/benches/simulate.rs
@@ -0,0 +1,34 @@
+//! What a play in virtual time costs: the fleet of today and the one that is planned, 50 s each.
+
+use criterion::Criterion;
+use rig::script::Kind;
+use rig::simulate::play;
+use rig::Script;
+use std::time::Duration;
+
+fn fleet(nodes: u32, boxes: u32, rate: f64) -> Script {
+    let mut script = Script { nodes, ..Script::default() };
+    (script.load.rate, script.load.keys) = (rate, (rate * 100.0) as u32);
+    script.origin.slots = (rate / 20.0) as u32;
+    let part =
+        |share: f64, kind: &Kind| Kind { count: (f64::from(boxes) * share).round() as u32, ..kind.clone() };
+    script.boxes = vec![part(0.7, &script.boxes[0]), part(0.3, &script.boxes[1])];
+    script
+}
+
+fn plays(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("50 s in virtual time");
+    group.sample_size(10).measurement_time(Duration::from_secs(10));
+    for (nodes, boxes, rate) in [(60, 20, 410.0), (450, 83, 2_000.0)] {
+        let script = fleet(nodes, boxes, rate);
+        group.bench_function(format!("{nodes} nodes, {boxes} boxes, {rate}/s"), |bencher| {
+            bencher.iter(|| play(&script))
+        });
+    }
+}
+
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    plays(&mut criterion);
+    criterion.final_summary();
+}
--- a/crates/rig/src/demand.rs
+++ b/crates/rig/src/demand.rs
@@ -23,6 +23,11 @@
 }
 
 impl Ask {
+    /// The source of all that is drawn for one of its tries, from 0.
+    pub fn of_try(&self, number: u32) -> Draw {
+        self.draw.on(100 + u64::from(number))
+    }
+
     /// The key as nodes and cache servers know it.
     pub fn key_number(&self) -> u64 {
         key_number(self.key)
--- a/crates/rig/src/simulate.rs
+++ b/crates/rig/src/simulate.rs
@@ -4,13 +4,14 @@
 //! What a node does beside deciding (its driver, its connections, its client of discovery) is done here in the way that
 //! the daemon does it, as far as it shows from outside. The judge is told what a bystander would see.
 
+use crate::conduct;
 use crate::demand::{key_number, Ask, Demand};
 use crate::draw::Draw;
 use crate::ledger::{Answer, Fact, Ledger, Verdict};
 use crate::script::Script;
 use crate::timeline::{changes, Change};
 use crate::world::cache_server::Did;
-use crate::world::{CacheServer, Job, Origin, Verdict as Offer};
+use crate::world::{CacheServer, Origin, Verdict as Offer};
 use decide::{
     Action, Availability, Balancer, Class, ClassId, Event, LoadReport, Note, Outcome, Request, RequestId,
     ServerEntry, ServerId, ServerList, Settings, Status, Timestamp,
@@ -61,6 +62,23 @@
     pub origin_queue: usize,
     /// Lines that the nodes logged.
     pub log_lines: u64,
+    /// The world at the end of each second.
+    pub samples: Vec<Sample>,
+}
+
+/// The world at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Sample {
+    /// Requests in all cache servers, waiting or in work.
+    pub held: usize,
+    /// Fetches that wait at the origin.
+    pub origin_waiting: usize,
+    /// Cache servers that run.
+    pub running: usize,
+    /// Of these, cold ones.
+    pub cold: usize,
+    /// Reads since the sample before that their cache server did not hold.
+    pub misses: u64,
 }
 
 /// Plays a script with the real decisions.
@@ -100,6 +118,7 @@
         fetches: play.fetches,
         origin_queue: play.origin_queue,
         log_lines: play.log_lines,
+        samples: play.samples,
     }
 }
 
@@ -176,6 +195,7 @@
         force: bool,
     },
     Start(usize),
+    Sample,
 }
 
 #[derive(Debug)]
@@ -329,6 +349,8 @@
     fetches: (u64, u64),
     origin_queue: usize,
     log_lines: u64,
+    samples: Vec<Sample>,
+    sampled_misses: u64,
 }
 
 impl<'a> Play<'a> {
@@ -368,6 +390,8 @@
             fetches: (0, 0),
             origin_queue: 0,
             log_lines: 0,
+            samples: Vec::new(),
+            sampled_misses: 0,
         };
         for (kind, settings) in script.boxes.iter().enumerate() {
             for _ in 0..settings.count {
@@ -403,6 +427,7 @@
             play.changes.push(change);
             play.agenda.put(now + at, What::Change(number));
         }
+        play.agenda.put(now + Duration::from_secs(1), What::Sample);
         play.next_ask();
         play
     }
@@ -512,15 +537,16 @@
         }
     }
 
-    /// One way between two zones.
     fn way(&self, from: usize, to: usize, draw: Draw) -> Duration {
-        let network = &self.script.network;
-        let base = if from == to { network.same_zone } else { network.cross_zone };
-        base.mul_f64(1.0 + network.jitter * draw.unit())
+        conduct::way(&self.script.network, from, to, draw)
     }
 
     fn client_way(&self, draw: Draw) -> Duration {
-        self.script.network.client.mul_f64(1.0 + self.script.network.jitter * draw.unit())
+        conduct::client_way(&self.script.network, draw)
+    }
+
+    fn since_start(&self) -> Duration {
+        self.now.since(Timestamp::default())
     }
 
     fn step(&mut self, what: What) {
@@ -579,6 +605,7 @@
             }
             What::Ends { node, life, force } => self.ends(node, life, force),
             What::Start(node) => self.start(node),
+            What::Sample => self.sample(),
         }
     }
 
@@ -602,11 +629,9 @@
     }
 
     fn send_try(&mut self, ask: usize, number: u32) {
-        let (Ask { class, zone, draw, .. }, _) = self.asks[ask];
-        let (class, clients) = (&self.script.classes[class], &self.script.clients);
-        let draw = draw.on(100 + u64::from(number));
-        let end = Timestamp::default() + self.asks[ask].0.at + class.deadline;
-        let patience = class.deadline.mul_f64(clients.try_share).min(end.since(self.now));
+        let zone = self.asks[ask].0.zone;
+        let draw = self.asks[ask].0.of_try(number);
+        let patience = conduct::patience(self.script, &self.asks[ask].0, self.since_start());
         let until = self.now + patience;
         let request = self.tries.len();
         let zones = self.fronted.len();
@@ -631,8 +656,8 @@
                 self.agenda.put(self.now + way, What::Heard { request, answer: None, away: Duration::ZERO })
             }
         }
-        if draw.on(3).unit() < clients.impatient {
-            self.agenda.put(self.now + patience.mul_f64(draw.on(4).unit()), What::Leaves(request));
+        if let Some(after) = conduct::leaves(self.script, draw, patience) {
+            self.agenda.put(self.now + after, What::Leaves(request));
         }
         self.agenda.put(until, What::GivesUp(request));
     }
@@ -675,21 +700,16 @@
 
     fn try_again(&mut self, request: usize, away: Duration) {
         let Try { ask, number, .. } = self.tries[request];
-        let (Ask { at, class, draw, .. }, served) = &self.asks[ask];
-        let clients = &self.script.clients;
-        let honours = draw.on(50).unit() < clients.honour;
-        let wait =
-            if honours { clients.backoff.max(away.min(clients.max_retry_after)) } else { clients.backoff };
-        let end = Timestamp::default() + *at + self.script.classes[*class].deadline;
-        // A millisecond is the least that a client can say it will wait.
-        if !served && number < clients.retries && self.now + wait + Duration::from_millis(1) < end {
+        let (asked, served) = &self.asks[ask];
+        let again = conduct::again(self.script, asked, number, self.since_start(), away);
+        if let Some(wait) = again.filter(|_| !served) {
             self.agenda.put(self.now + wait, What::Try { ask, number: number + 1 });
         }
     }
 
     fn try_draw(&self, request: usize) -> Draw {
         let Try { ask, number, .. } = self.tries[request];
-        self.asks[ask].0.draw.on(100 + u64::from(number))
+        self.asks[ask].0.of_try(number)
     }
 
     // Nodes.
@@ -917,17 +937,9 @@
         if !self.processes[process].alive {
             return self.reset(request, attempt);
         }
-        let draw = self.try_draw(request).on(10).on(attempt as u64);
-        let Ask { class, ref key, .. } = self.asks[self.tries[request].ask].0;
-        let class = &self.script.classes[class];
-        let job = Job {
-            id: request as u64 * ATTEMPTS + attempt as u64,
-            key: key_number(*key),
-            work: class.work.mul_f64(draw.on(1).log_normal(class.spread)),
-            write: class.write,
-            handshake: if fresh { self.script.network.handshake_work } else { Duration::ZERO },
-            draw,
-        };
+        let (ask, draw) = (&self.asks[self.tries[request].ask].0, self.try_draw(request));
+        let id = request as u64 * ATTEMPTS + attempt as u64;
+        let job = conduct::job(self.script, ask, draw.on(10).on(attempt as u64), id, fresh);
         match self.processes[process].server.offer(self.now, job) {
             Offer::Taken => self.look(process),
             Offer::Declined => self.send_back(request, attempt, Status::QueueFull, false),
@@ -1202,6 +1214,22 @@
         }
     }
 
+    fn sample(&mut self) {
+        let alive = || self.processes.iter().filter(|process| process.alive);
+        self.samples.push(Sample {
+            held: alive().map(|process| process.server.held()).sum(),
+            origin_waiting: self.origin.waiting(),
+            running: alive().count(),
+            cold: alive().filter(|process| process.server.warmth(self.now) < 1.0).count(),
+            misses: self.misses - self.sampled_misses,
+        });
+        self.sampled_misses = self.misses;
+        let next = self.now + Duration::from_secs(1);
+        if next.since(Timestamp::default()) <= self.script.length {
+            self.agenda.put(next, What::Sample);
+        }
+    }
+
     fn change(&mut self, number: usize) {
         match self.changes[number].clone() {
             Change::Drain { seat } => {
