Play rehearsals on sockets: real nodes as processes against stand-ins on loopback

Need: a rehearsal should try the daemon, not its decisions alone: framing, connections, signals, restarts. Change: crates/rig/live drives the same stand-ins, clients and timeline over HTTP/1.1 in real time: cache servers, origin, discovery (an address for each node, so that the judge knows who was told what), the front and its clients, and `pinhead` processes that are killed or told to stop as the script says. A play whose timers rang late is void (exit code 3), one that is broken off is marked partial; children end with the player. An answer made for another request breaks rule 1. crates/rig/fleet holds what both players know of the fleet, and what its memories hold at the start.

--- a/crates/node/src/rehearse.rs
+++ b/crates/node/src/rehearse.rs
@@ -1,15 +1,19 @@
 //! `pinhead rehearse`: plays a script and shows what came of it.
 
-use clap::{Args, Subcommand};
+use clap::{Args, Subcommand, ValueEnum};
 use rig::page::page;
 use rig::report::{words, Report};
 use rig::script::read::{time_text, Fault};
-use rig::{scenarios, simulate, Script};
+use rig::simulate::{self, Played, Sample};
+use rig::{live, scenarios, Script};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// A script that cannot be used; a play that misses what its script expects ends with 1.
 const UNUSABLE: u8 = 2;
+/// A play whose figure would be the machine's.
+const VOID: u8 = 3;
 
 #[derive(Debug, Args)]
 #[command(args_conflicts_with_subcommands = true)]
@@ -31,11 +35,20 @@
     /// Prints one line of JSON instead of the table and the picture
     #[arg(long)]
     json: bool,
+    /// Who plays it: `sockets`, this program on loopback in real time, or `virtual` time, the decisions alone
+    #[arg(long, value_enum, default_value_t = Player::Sockets)]
+    player: Player,
     /// Writes the timelines to this file, as one HTML page
     #[arg(long)]
     html: Option<PathBuf>,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum Player {
+    Sockets,
+    Virtual,
+}
+
 #[derive(Debug, Subcommand)]
 enum Command {
     /// Lists the scenarios that ship with the program
@@ -83,7 +96,14 @@
     if !play.json {
         eprintln!("{}: {}", script.name, script.about);
     }
-    let report = Report::new(&script, simulate::play(&script));
+    let played = match play.player {
+        Player::Virtual => simulate::play(&script),
+        Player::Sockets => match on_sockets(&script, !play.json) {
+            Ok(played) => played,
+            Err(code) => return code,
+        },
+    };
+    let report = Report::new(&script, played);
     if let Some(path) = &play.html {
         let written = page(&report).and_then(|html| Ok(std::fs::write(path, html)?));
         if let Err(error) = written {
@@ -103,6 +123,44 @@
     }
 }
 
+/// Plays on sockets, with a line of progress each second.
+fn on_sockets(script: &Script, show: bool) -> Result<Played, ExitCode> {
+    let program = std::env::current_exe().map_err(|error| {
+        eprintln!("this program does not find itself: {error}");
+        ExitCode::from(UNUSABLE)
+    })?;
+    let length = script.length;
+    let progress = move |at: Duration, sample: &Sample| {
+        if show {
+            let (at, length) = (at.as_secs(), length.as_secs());
+            let Sample { running, cold, held, origin_waiting, .. } = sample;
+            eprint!("\r{at:>4} of {length} s: {running} boxes, {cold} cold, {held} requests in them, {origin_waiting} wait at the origin   ");
+        }
+    };
+    // Where the signal cannot be had, the play simply runs to its end.
+    let stop = async {
+        if tokio::signal::ctrl_c().await.is_err() {
+            std::future::pending().await
+        }
+    };
+    let live = live::play(script, &program, progress, stop).map_err(|error| {
+        eprintln!("{error}");
+        ExitCode::from(UNUSABLE)
+    })?;
+    if show {
+        eprintln!();
+    }
+    if live.partial {
+        eprintln!("PARTIAL: broken off; what follows is of the time until then");
+    }
+    if live.void() {
+        let (most_of, most) = live.late;
+        eprintln!("VOID: this machine was too busy, timers rang {most_of:?} late at the 99th percentile and {most:?} at most");
+        return Err(ExitCode::from(VOID));
+    }
+    Ok(live.played)
+}
+
 fn from_file(path: &Path) -> Option<Script> {
     match std::fs::read_to_string(path) {
         Ok(text) => usable(Script::parse(&path.display().to_string(), &text)),
--- a/crates/node/tests/rehearse.rs
+++ b/crates/node/tests/rehearse.rs
@@ -3,7 +3,12 @@
 use std::process::{Command, Output};
 
 fn pinhead(arguments: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_pinhead")).args(arguments).output().unwrap()
+    let player = if arguments.contains(&"list") || arguments.contains(&"check") {
+        None
+    } else {
+        Some("--player=virtual")
+    };
+    Command::new(env!("CARGO_BIN_EXE_pinhead")).args(arguments).args(player).output().unwrap()
 }
 
 fn text(bytes: &[u8]) -> &str {
--- a/crates/rig/src/ledger.rs
+++ b/crates/rig/src/ledger.rs
@@ -29,6 +29,8 @@
     Refused,
     /// Not done, or not known.
     Failed,
+    /// With what was not made for this request: it is lost.
+    Foreign,
 }
 
 /// A fact.
@@ -225,8 +227,8 @@
     pub asked: u64,
     /// Tries that nodes took.
     pub taken: u64,
-    /// Final answers: served, refused, failed.
-    pub answers: [u64; 3],
+    /// Final answers: served, refused, failed, and with what belongs to another request.
+    pub answers: [u64; 4],
     /// Attempts.
     pub attempts: u64,
     /// Runs beyond a try's first: of safe, keyed and unsafe classes.
@@ -376,7 +378,9 @@
             return self.breach(1, at, format!("request {request:x} was answered, and no node had taken it"));
         };
         let (until, excused) = (row.until, row.excused);
-        if row.answered.replace((at, answer)).is_some() {
+        if answer == Answer::Foreign {
+            self.breach(1, at, format!("request {request:x} was served with what was made for another"));
+        } else if row.answered.replace((at, answer)).is_some() {
             self.breach(1, at, format!("request {request:x} was answered twice"));
         } else if !excused && at > until + TOLERANCE {
             let late = at.since(until).as_millis();
@@ -422,7 +426,7 @@
             }
         }
         late.into_iter().for_each(|(rule, at, what)| self.breach(rule, at, what));
-        let mut answers = [0; 3];
+        let mut answers = [0; 4];
         let mut repeats = [0; 3];
         for row in self.rows.values() {
             if let Some((_, answer)) = row.answered {
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,15 +5,19 @@
 //! - [`timeline`] turns its incidents into single changes, [`demand`] its load into single asks. Both are pure: the
 //!   same script gives the same ones, whoever plays it and however things interleave.
 //! - [`conduct`] says how clients, messages and work behave, for every player.
+//! - [`fleet`] says who sits where, and what nodes are told of it.
 //! - [`world`] holds the stand-ins as state machines without I/O or a clock.
 //! - [`simulate`] is the player in virtual time: one thread, no wall clock, the same bytes every time.
+//! - [`live`] is the player on sockets: real processes, real time.
 //! - [`Ledger`] decides the four rules and the figure of service; it knows nothing of how the nodes work.
 //! - [`report`] shows a verdict in the terminal and as JSON, [`page`] as one HTML page.
 
 pub mod conduct;
 pub mod demand;
 pub mod draw;
+pub mod fleet;
 pub mod ledger;
+pub mod live;
 pub mod page;
 pub mod report;
 pub mod scenarios;
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -105,7 +105,7 @@
         row("service", format!("{:.4}", service.whole));
         row("worst 10 s", format!("{:.4} from {} s", service.worst_window.0, service.worst_window.1));
         service.classes.iter().for_each(|(class, part)| row(&format!("  {class}"), format!("{part:.4}")));
-        let [served, refused, failed] = verdict.answers;
+        let [served, refused, failed, _] = verdict.answers;
         row("asked, tries taken", format!("{}, {}", verdict.asked, verdict.taken));
         row("served, refused, failed", format!("{served}, {refused}, {failed}"));
         row("attempts a try", format!("{:.2}", verdict.attempts as f64 / verdict.taken.max(1) as f64));
--- a/crates/rig/src/simulate.rs
+++ b/crates/rig/src/simulate.rs
@@ -5,15 +5,16 @@
 //! the daemon does it, as far as it shows from outside. The judge is told what a bystander would see.
 
 use crate::conduct;
-use crate::demand::{key_number, Ask, Demand};
+use crate::demand::{Ask, Demand};
 use crate::draw::Draw;
+use crate::fleet;
 use crate::ledger::{Answer, Fact, Ledger, Verdict};
 use crate::script::Script;
 use crate::timeline::{changes, Change};
 use crate::world::cache_server::Did;
 use crate::world::{CacheServer, Origin, Verdict as Offer};
 use decide::{
-    Action, Availability, Balancer, Class, ClassId, Event, LoadReport, Note, Outcome, Request, RequestId,
+    Action, Availability, Balancer, ClassId, Event, LoadReport, Note, Outcome, Request, RequestId,
     ServerEntry, ServerId, ServerList, Settings, Status, Timestamp,
 };
 use serde::Serialize;
@@ -32,8 +33,6 @@
 const KILL_AFTER: Duration = Duration::from_millis(700);
 /// A discovery that is away ends a call after this.
 const CALL_ENDS: Duration = Duration::from_millis(10);
-/// Cache servers that share their memory of keyed repeats.
-const CELL: usize = 8;
 /// Attempts of a request are numbered below this.
 const ATTEMPTS: u64 = 32;
 
@@ -332,8 +331,8 @@
     changes: Vec<Change>,
     hosts: Vec<Host>,
     by_id: HashMap<ServerId, usize>,
-    /// By seat: its host of today, and the kind of cache server.
-    seats: Vec<(usize, usize)>,
+    /// By seat: its host of today.
+    seats: Vec<usize>,
     processes: Vec<Process>,
     nodes: Vec<Node>,
     /// By zone: the nodes that the front sends to.
@@ -393,17 +392,14 @@
             samples: Vec::new(),
             sampled_misses: 0,
         };
-        for (kind, settings) in script.boxes.iter().enumerate() {
-            for _ in 0..settings.count {
-                let seat = play.seats.len();
-                play.seats.push((play.hosts.len(), kind));
-                play.new_host(seat, true);
-            }
+        for seat in 0..fleet::seats(script) {
+            play.seats.push(seat);
+            play.new_host(seat, true);
         }
         play.warm_up();
         for node in 0..script.nodes as usize {
             let zone = node % script.zones.len();
-            let settings = play.settings(zone);
+            let settings = fleet::settings(script, zone);
             let decide = (play.make)(settings, play.draw.on(node as u64).bits());
             play.nodes.push(Node {
                 zone,
@@ -432,44 +428,10 @@
         play
     }
 
-    fn settings(&self, zone: usize) -> Settings {
-        let (script, boxes) = (self.script, &self.script.boxes);
-        let classes = script.classes.iter().map(|class| Class {
-            name: class.name.as_str().into(),
-            effect: class.effect,
-            aim: class.aim,
-            deadline: class.deadline,
-            worth: class.worth,
-            late_worth: class.late_worth,
-        });
-        Settings {
-            zone: Some(script.zones[zone].as_str().into()),
-            nodes: script.nodes,
-            classes: classes.collect(),
-            must_follow: true,
-            max_attempts: script.rules.max_attempts,
-            second_copies: true,
-            cancelling: true,
-            max_retry_after: script.clients.max_retry_after,
-            connect_timeout: script.network.connect_timeout,
-            keepalive: script.network.idle,
-            cold_share: boxes.iter().map(|kind| kind.cold).fold(1.0, f64::min),
-            warm_within: boxes.iter().map(|kind| kind.warm_within).max().unwrap_or_default(),
-            fall_multiple: script.rules.fall_multiple,
-            fall_span: script.rules.fall_span,
-            ..Settings::default()
-        }
-    }
-
     fn new_host(&mut self, seat: usize, seasoned: bool) {
-        let (zone, kind) = (seat % self.script.zones.len(), &self.script.boxes[self.seats[seat].1]);
         let before = self.hosts.iter().filter(|host| host.seat == seat).count();
-        let name = if before == 0 {
-            format!("{}-{seat}", kind.name)
-        } else {
-            format!("{}-{seat}.{before}", kind.name)
-        };
-        let number = self.ledger.server(&name, zone, (seat / CELL) as u64);
+        let name = fleet::name(self.script, seat, before);
+        let number = self.ledger.server(&name, fleet::zone(self.script, seat), fleet::cell(seat));
         let id = ServerId::from(name.as_str());
         let host = self.hosts.len();
         self.by_id.insert(id.clone(), host);
@@ -479,62 +441,30 @@
             version: 0,
         };
         self.hosts.push(Host { id, seat, number, process: None, reachable: true, listed });
-        self.seats[seat].0 = host;
+        self.seats[seat] = host;
         self.new_process(host, seasoned);
     }
 
     fn new_process(&mut self, host: usize, seasoned: bool) {
         let script = self.script;
-        let kind = script.boxes[self.seats[self.hosts[host].seat].1].clone();
+        let kind = fleet::kind(script, self.hosts[host].seat).clone();
         let server = CacheServer::new(kind, script.rules.clone(), script.reports.clone(), self.now, seasoned);
         self.hosts[host].process = Some(self.processes.len());
         self.processes.push(Process { host, server, alive: true, connections: 0, look: None });
     }
 
-    /// Fills the memories with what is asked for most, at the servers where each node's own order has it.
     fn warm_up(&mut self) {
-        let count = (f64::from(self.script.load.keys) * self.script.origin.warm) as u32;
-        let mut balancer = Balancer::new(Settings { must_follow: false, nodes: 1, ..self.settings(0) }, 0);
         let list: Vec<_> = (0..self.hosts.len()).map(|host| self.entry(host)).collect();
-        balancer.handle(self.now, Event::Restored(list.into()), &mut Vec::new());
-        // The least asked for first: what is asked for most must be the last to go from a full memory.
-        for rank in (0..count).rev() {
-            let id = RequestId::from("warm-up");
-            let key = key_number(rank);
-            let request =
-                Request { key: Some(key), ..Request::new(id.as_str(), self.now + Duration::from_secs(1)) };
-            let mut actions = Vec::new();
-            balancer.handle(self.now, Event::Request(request), &mut actions);
-            let Some(Action::Send { server, .. }) = actions.first() else { continue };
-            if let Some(process) = self.by_id.get(server).and_then(|&host| self.hosts[host].process) {
+        for (server, key) in fleet::held_at_start(self.script, list) {
+            if let Some(process) = self.by_id.get(&server).and_then(|&host| self.hosts[host].process) {
                 self.processes[process].server.hold(key);
             }
-            let outcome = Outcome {
-                id,
-                attempt: 0,
-                server: server.clone(),
-                status: Status::Ok,
-                note: None,
-                took: Duration::from_millis(1),
-                finished: true,
-                load: LoadReport::default(),
-            };
-            balancer.handle(self.now, Event::Outcome(outcome), &mut actions);
         }
     }
 
     fn entry(&self, host: usize) -> ServerEntry {
         let Host { id, seat, listed, .. } = &self.hosts[host];
-        let kind = &self.script.boxes[self.seats[*seat].1];
-        ServerEntry {
-            id: id.clone(),
-            zone: Some(self.script.zones[seat % self.script.zones.len()].as_str().into()),
-            kind: Some(kind.name.as_str().into()),
-            cell: (seat / CELL) as u64,
-            availability: listed.state,
-            weight: f64::from(kind.cores) * kind.speed,
-            started: listed.started,
-        }
+        fleet::entry(self.script, id.clone(), *seat, listed.state, listed.started)
     }
 
     fn way(&self, from: usize, to: usize, draw: Draw) -> Duration {
@@ -879,7 +809,7 @@
             self.write(request, attempt);
             return None;
         }
-        let (from, to) = (self.nodes[node].zone, self.hosts[host].seat % self.script.zones.len());
+        let (from, to) = (self.nodes[node].zone, fleet::zone(self.script, self.hosts[host].seat));
         let trip = self.way(from, to, self.try_draw(request).on(8).on(attempt as u64)) * 2;
         let network = &self.script.network;
         let handshake = trip * network.handshake_rtts;
@@ -923,7 +853,7 @@
         self.tries[request].attempts[attempt].written = true;
         let server = self.hosts[host].number;
         self.ledger.note(Fact::Sent { request: request as u64, server, at: self.now });
-        let (from, to) = (self.nodes[node].zone, self.hosts[host].seat % self.script.zones.len());
+        let (from, to) = (self.nodes[node].zone, fleet::zone(self.script, self.hosts[host].seat));
         let way = self.way(from, to, self.try_draw(request).on(9).on(attempt as u64));
         self.agenda.put(self.now + way, What::Reach { request, attempt });
     }
@@ -962,7 +892,7 @@
             return;
         }
         let node = self.tries[request].node;
-        let (from, to) = (self.hosts[host].seat % self.script.zones.len(), self.nodes[node].zone);
+        let (from, to) = (fleet::zone(self.script, self.hosts[host].seat), self.nodes[node].zone);
         let way = self.way(from, to, self.try_draw(request).on(11).on(attempt as u64));
         let answered = !matches!(status, Status::Reset | Status::ConnectError);
         let load = match process.filter(|_| answered) {
@@ -1055,7 +985,7 @@
     }
 
     fn start(&mut self, node: usize) {
-        let (settings, zone) = (self.settings(self.nodes[node].zone), node as u64);
+        let (settings, zone) = (fleet::settings(self.script, self.nodes[node].zone), node as u64);
         let life = self.nodes[node].life + 1;
         let decide = (self.make)(settings, self.draw.on(zone).on(u64::from(life)).bits());
         let state = &mut self.nodes[node];
@@ -1233,34 +1163,34 @@
     fn change(&mut self, number: usize) {
         match self.changes[number].clone() {
             Change::Drain { seat } => {
-                let host = self.seats[seat].0;
+                let host = self.seats[seat];
                 if let Some(process) = self.hosts[host].process {
                     self.processes[process].server.drain();
                     self.notice_later(host, Availability::Draining, self.hosts[host].listed.started);
                 }
             }
             Change::Stop { seat } => {
-                let process = self.hosts[self.seats[seat].0].process;
+                let process = self.hosts[self.seats[seat]].process;
                 process.into_iter().for_each(|process| self.stop(process));
             }
             Change::Start { seat, same_id, .. } => {
-                let host = self.seats[seat].0;
+                let host = self.seats[seat];
                 if self.hosts[host].process.is_none() {
                     if same_id {
                         self.new_process(host, false);
                     } else {
                         self.new_host(seat, false);
                     }
-                    let host = self.seats[seat].0;
+                    let host = self.seats[seat];
                     self.notice_later(host, Availability::Ready, Some(self.now));
                 }
             }
             Change::Reach { seat, reachable } => {
-                let host = self.seats[seat].0;
+                let host = self.seats[seat];
                 self.hosts[host].reachable = reachable;
             }
             Change::Pause { seat, length } => {
-                if let Some(process) = self.hosts[self.seats[seat].0].process {
+                if let Some(process) = self.hosts[self.seats[seat]].process {
                     // What has ended by now ended before the pause.
                     self.look(process);
                     self.processes[process].server.pause(self.now, length);
@@ -1269,7 +1199,7 @@
                 }
             }
             Change::Errors { seat, rate } => {
-                if let Some(process) = self.hosts[self.seats[seat].0].process {
+                if let Some(process) = self.hosts[self.seats[seat]].process {
                     self.processes[process].server.set_errors(rate);
                 }
             }
--- a/crates/rig/tests/judge.rs
+++ b/crates/rig/tests/judge.rs
@@ -246,6 +246,6 @@
         (script.seed, script.clients.retries, script.clients.impatient) = (seed, 3, 0.05);
         let verdict = play(&script).verdict;
         assert_eq!(verdict.broken, [0; 4], "{effect:?}, seed {seed}: {:?}", verdict.breaches);
-        assert!(verdict.answers.iter().all(|&count| count > 0), "{effect:?}: {:?}", verdict.answers);
+        assert!(verdict.answers[..3].iter().all(|&count| count > 0), "{effect:?}: {:?}", verdict.answers);
     }
 }
