--- a/crates/node/src/rehearse.rs
+++ b/crates/node/src/rehearse.rs
@@ -96,14 +96,14 @@
     if !play.json {
         eprintln!("{}: {}", script.name, script.about);
     }
-    let played = match play.player {
-        Player::Virtual => simulate::play(&script),
+    let (played, partial) = match play.player {
+        Player::Virtual => (simulate::play(&script), false),
         Player::Sockets => match on_sockets(&script, !play.json) {
             Ok(played) => played,
             Err(code) => return code,
         },
     };
-    let report = Report::new(&script, played);
+    let report = Report { partial, ..Report::new(&script, played) };
     if let Some(path) = &play.html {
         let written = page(&report).and_then(|html| Ok(std::fs::write(path, html)?));
         if let Err(error) = written {
@@ -124,7 +124,7 @@
 }
 
 /// Plays on sockets, with a line of progress each second.
-fn on_sockets(script: &Script, show: bool) -> Result<Played, ExitCode> {
+fn on_sockets(script: &Script, show: bool) -> Result<(Played, bool), ExitCode> {
     let program = std::env::current_exe().map_err(|error| {
         eprintln!("this program does not find itself: {error}");
         ExitCode::from(UNUSABLE)
@@ -150,15 +150,12 @@
     if show {
         eprintln!();
     }
-    if live.partial {
-        eprintln!("PARTIAL: broken off; what follows is of the time until then");
-    }
     if live.void() {
         let (most_of, most) = live.late;
         eprintln!("VOID: this machine was too busy, timers rang {most_of:?} late at the 99th percentile and {most:?} at most");
         return Err(ExitCode::from(VOID));
     }
-    Ok(live.played)
+    Ok((live.played, live.partial))
 }
 
 fn from_file(path: &Path) -> Option<Script> {
--- a/crates/node/tests/rehearse.rs
+++ b/crates/node/tests/rehearse.rs
@@ -1,6 +1,7 @@
 //! `pinhead rehearse`, as an operator calls it.
 
-use std::process::{Command, Output};
+use std::io::{BufReader, Read};
+use std::process::{Command, Output, Stdio};
 
 fn pinhead(arguments: &[&str]) -> Output {
     let player = if arguments.contains(&"list") || arguments.contains(&"check") {
@@ -107,3 +108,62 @@
     assert!(!html.contains("src=") && !html.contains("href="), "nothing is fetched");
     assert!(html.contains("held: rules broken 0 expected"));
 }
+
+const ROUGH: &str = "version = 1\nname = \"rough\"\nlength = \"5s\"\nnodes = 3\n[load]\nrate = 100\n\
+    [[incident]]\nkind = \"restart-nodes\"\nat = \"1s\"\nover = \"1s\"\nshare = 0.3\nbatch = 0.4\ndown = \"200ms\"\n\
+    [[incident]]\nkind = \"restart-nodes\"\nat = \"1500ms\"\nover = \"1s\"\nshare = 0.3\nbatch = 0.4\nkilled = true\n\
+    [[incident]]\nkind = \"deploy\"\nat = \"1500ms\"\nover = \"2s\"\nshare = 0.3\nbatch = 0.1\ndrain = \"1s\"\n\
+    [[incident]]\nkind = \"vanish\"\nat = \"2s\"\nover = \"1s\"\nshare = 0.1\n";
+
+// The daemon itself, with nodes that are killed and told to stop, and servers that drain, go and are cut off.
+#[test]
+fn the_daemon_keeps_the_rules_on_sockets_or_the_play_says_that_it_is_void() {
+    let file = File::new("rough.toml", ROUGH);
+    let arguments = ["rehearse", file.path(), "--player=sockets", "--json"];
+    let played = Command::new(env!("CARGO_BIN_EXE_pinhead")).args(arguments).output().unwrap();
+    let said = text(&played.stderr);
+    if played.status.code() == Some(3) {
+        // A busy machine: no figure, and a word why.
+        assert!(said.contains("VOID: this machine was too busy") && played.stdout.is_empty(), "{said}");
+        return;
+    }
+    let json: serde_json::Value = serde_json::from_slice(&played.stdout).unwrap_or_else(|_| panic!("{said}"));
+    let verdict = &json["verdict"];
+    assert_eq!(verdict["broken"], serde_json::json!([0, 0, 0, 0]), "{}", verdict["breaches"]);
+    assert!(verdict["asked"].as_u64() > Some(300) && verdict["answers"][0].as_u64() > Some(300), "{verdict}");
+    assert_eq!(json["partial"], false);
+}
+
+// Guards against processes that outlive the player, and against a part that passes for the whole.
+#[test]
+fn a_play_that_is_broken_off_says_so_and_leaves_no_process_behind() {
+    let file = File::new(
+        "long.toml",
+        "version = 1\nname = \"long\"\nlength = \"10min\"\nnodes = 2\n[load]\nrate = 50\n",
+    );
+    let mut command = Command::new(env!("CARGO_BIN_EXE_pinhead"));
+    command.args(["rehearse", file.path()]).stdout(Stdio::piped()).stderr(Stdio::piped());
+    let mut player = command.spawn().unwrap();
+    let mut progress = BufReader::new(player.stderr.take().unwrap()).bytes().map_while(Result::ok);
+    // The first line of progress begins with a return to the line's start.
+    assert!(progress.any(|byte| byte == b'\r'), "no progress");
+    let id = player.id().to_string();
+    let children = std::fs::read_to_string(format!("/proc/{id}/task/{id}/children")).unwrap();
+    assert_eq!(children.split_whitespace().count(), 2, "{children}");
+    assert!(Command::new("kill").args(["-INT", &id]).status().unwrap().success());
+    progress.for_each(drop);
+    let ended = player.wait_with_output().unwrap();
+    // A busy machine has no figure to show, and nothing to mark.
+    let shown = text(&ended.stdout);
+    assert!(ended.status.code() == Some(3) || shown.contains("PARTIAL: broken off"), "{shown}");
+    for child in children.split_whitespace() {
+        let gone = || {
+            std::fs::read_to_string(format!("/proc/{child}/stat")).map_or(true, |stat| stat.contains(") Z "))
+        };
+        let start = std::time::Instant::now();
+        while !gone() {
+            assert!(start.elapsed().as_secs() < 60, "process {child} is left");
+            std::thread::yield_now();
+        }
+    }
+}
--- a/crates/rig/src/ledger.rs
+++ b/crates/rig/src/ledger.rs
@@ -101,6 +101,8 @@
     Killed {
         /// Which.
         node: usize,
+        /// When it was gone. What it should have answered before is lost all the same.
+        at: Timestamp,
     },
     /// A node has started, and has been told of nothing yet.
     Started {
@@ -302,9 +304,9 @@
                 }
             }
             Fact::Served { ask, at } => self.served(ask, at),
-            Fact::Killed { node } => {
+            Fact::Killed { node, at } => {
                 let held = self.rows.values_mut().filter(|row| row.node == node && row.answered.is_none());
-                held.for_each(|row| row.excused = true);
+                held.filter(|row| at <= row.until + TOLERANCE).for_each(|row| row.excused = true);
             }
             Fact::Started { node } => self.stops.retain(|(of, _), _| *of != node),
             Fact::Told { node, server, at, stops } => {
--- a/crates/rig/src/live/node.rs
+++ b/crates/rig/src/live/node.rs
@@ -200,7 +200,8 @@
 }
 
 async fn kill(world: &World, node: usize, child: &mut Child) {
-    world.note(Fact::Killed { node });
     // It may have ended by itself.
     let _ = child.kill().await;
+    // Not before: until it is gone, clients go on giving it requests.
+    world.note(Fact::Killed { node, at: world.now() });
 }
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -16,6 +16,8 @@
     pub name: String,
     /// Its seed.
     pub seed: u64,
+    /// The play was broken off: all figures are of the time until then.
+    pub partial: bool,
     /// What went wrong, in words.
     pub incidents: Vec<Mark>,
     /// What was expected, and whether it came.
@@ -76,6 +78,7 @@
         Self {
             name: script.name.clone(),
             seed: script.seed,
+            partial: false,
             incidents: incidents.collect(),
             checks: std::iter::once(rules).chain(least).collect(),
             played,
@@ -117,7 +120,9 @@
         if let Some(column) = table.column_mut(1) {
             column.set_cell_alignment(CellAlignment::Right);
         }
-        let mut text = format!("{} (seed {})\n{table}\n{}", self.name, self.seed, self.picture());
+        let partial =
+            if self.partial { "PARTIAL: broken off; all figures are of the time until then\n" } else { "" };
+        let mut text = format!("{} (seed {})\n{partial}{table}\n{}", self.name, self.seed, self.picture());
         for breach in &verdict.breaches {
             let _ = writeln!(text, "rule {} at {:.3} s: {}", breach.rule, breach.at_s, breach.what);
         }
--- a/crates/rig/src/simulate.rs
+++ b/crates/rig/src/simulate.rs
@@ -1038,7 +1038,7 @@
     }
 
     fn kill(&mut self, node: usize) {
-        self.ledger.note(Fact::Killed { node });
+        self.ledger.note(Fact::Killed { node, at: self.now });
         self.nodes[node].up = false;
         let hosts: Vec<_> = self.nodes[node].pool.keys().copied().collect();
         hosts.into_iter().for_each(|host| self.close_idle(node, host));
--- a/crates/rig/tests/judge.rs
+++ b/crates/rig/tests/judge.rs
@@ -4,7 +4,7 @@
     Action, Availability, Balancer, Effect, Event, RequestId, Scope, ServerId, ServerList, Settings,
     Timestamp,
 };
-use rig::ledger::Verdict;
+use rig::ledger::{Answer, Fact, Ledger, Verdict};
 use rig::script::{Class, Incident, Trouble};
 use rig::simulate::{play, play_with, Decide, Safeguards};
 use rig::Script;
@@ -249,3 +249,31 @@
         assert!(verdict.answers[..3].iter().all(|&count| count > 0), "{effect:?}: {:?}", verdict.answers);
     }
 }
+
+// Guards against a judge that forgives what was lost long before for a death that came after.
+#[test]
+fn a_death_excuses_what_the_node_still_had_time_for_and_nothing_else() {
+    let script = small(Effect::Safe, vec![]);
+    let at = |ms: u64| Timestamp::from_micros(ms * 1_000);
+    let mut ledger = Ledger::new(&script);
+    for (number, until) in [(0, 100), (1, 300)] {
+        ledger.note(Fact::Asked { ask: number, at: at(0), class: 0 });
+        ledger.note(Fact::Taken { request: number, ask: number, node: 0, at: at(1), until: at(until) });
+    }
+    ledger.note(Fact::Killed { node: 0, at: at(200) });
+    let verdict = ledger.verdict();
+    assert_eq!(verdict.broken, [1, 0, 0, 0]);
+    assert_eq!(verdict.breaches[0].what, "request 0 was never answered");
+}
+
+#[test]
+fn an_answer_that_was_made_for_another_request_breaks_rule_1() {
+    let script = small(Effect::Safe, vec![]);
+    let at = Timestamp::from_micros(1_000);
+    let mut ledger = Ledger::new(&script);
+    ledger.note(Fact::Asked { ask: 0, at, class: 0 });
+    ledger.note(Fact::Taken { request: 0, ask: 0, node: 0, at, until: at + PATIENT });
+    ledger.note(Fact::Answered { request: 0, at, answer: Answer::Foreign });
+    let verdict = ledger.verdict();
+    assert!(verdict.breaches[0].what.contains("made for another"), "{:?}", verdict.breaches);
+}
--- /dev/null
+++ b/crates/rig/tests/live.rs
@@ -0,0 +1,23 @@
+//! The player on sockets, where nothing can be played.
+
+use rig::live::{play, LiveError};
+use rig::simulate::Sample;
+use rig::Script;
+use std::path::Path;
+use std::time::Duration;
+
+fn played(program: &str) -> Result<rig::live::Live, LiveError> {
+    let nobody = |_: Duration, _: &Sample| ();
+    play(&Script::default(), Path::new(program), nobody, std::future::pending())
+}
+
+// Guards against a play that waits for a node that is dead, or that blames something else.
+#[test]
+fn a_program_that_is_no_node_is_named_and_nothing_is_played() {
+    match played("/bin/false") {
+        Err(LiveError::Node { node: 0, .. }) => {}
+        other => panic!("{other:?}"),
+    }
+    let missing = played("/no/such/program").expect_err("no program");
+    assert!(missing.to_string().starts_with("/no/such/program: "), "{missing}");
+}
