Give the sockets player one way to wait, and its files no circle of imports

Need: a reader's second look. The player's discovery and nodes imported each other, two drivers had the same wait, and lateness was kept in a thread's own variable. rustdoc refused a link to a private item. Change: a node is handed the list it starts from; one `reach` for both drivers; lateness goes with its task.

--- a/crates/rig/src/live/cache.rs
+++ b/crates/rig/src/live/cache.rs
@@ -1,6 +1,6 @@
 //! Cache servers on sockets: the state machine of `world`, driven by what comes over HTTP/1.1.
 
-use super::{discovery, unix_ms, way, Host, LiveError, Process, World};
+use super::{discovery, reach, unix_ms, way, Host, LiveError, Process, World};
 use crate::conduct;
 use crate::fleet;
 use crate::ledger::Fact;
@@ -22,7 +22,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch, Notify};
 use tokio::task::{spawn_local, JoinSet};
-use tokio::time::{sleep, sleep_until};
+use tokio::time::sleep;
 
 /// Attempts of a try are numbered below this.
 const ATTEMPTS: u64 = 32;
@@ -285,14 +285,8 @@
             }
             (server.next().map(|at| world.instant(at)), news.clone())
         };
-        let due = async {
-            match next {
-                Some(at) => sleep_until(at).await,
-                None => std::future::pending().await,
-            }
-        };
         tokio::select! {
-            () = due => {}
+            () = reach(next) => {}
             () = news.notified() => {}
         }
         let now = world.now();
--- a/crates/rig/src/live/discovery.rs
+++ b/crates/rig/src/live/discovery.rs
@@ -30,7 +30,7 @@
         let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)));
         let listener = listener.await.map_err(LiveError::system("discovery's socket"))?;
         let address = listener.local_addr().map_err(LiveError::system("discovery's socket"))?;
-        super::node::prepare(world, node, address);
+        super::node::prepare(world, node, address, whole(world));
         let world = world.clone();
         spawn_local(async move {
             loop {
--- a/crates/rig/src/live/mod.rs
+++ b/crates/rig/src/live/mod.rs
@@ -102,7 +102,8 @@
         world.begin();
         spawn_local(origin(world.clone()));
         spawn_local(incidents(world.clone()));
-        let lateness = spawn_local(lateness());
+        let rung = Rc::new(RefCell::new(Vec::new()));
+        let lateness = spawn_local(lateness(rung.clone()));
         let sampling = world.clone();
         spawn_local(async move {
             loop {
@@ -117,12 +118,10 @@
             () = stop => {}
         }
         lateness.abort();
-        let late = LATENESS.with_borrow_mut(|all| {
-            all.sort_unstable();
-            let at =
-                |part: f64| all.get(((all.len() as f64 * part) as usize).min(all.len().saturating_sub(1)));
-            (at(0.99).copied().unwrap_or_default(), all.last().copied().unwrap_or_default())
-        });
+        let mut all = rung.take();
+        all.sort_unstable();
+        let at = |part: f64| all.get(((all.len() as f64 * part) as usize).min(all.len().saturating_sub(1)));
+        let late = (at(0.99).copied().unwrap_or_default(), all.last().copied().unwrap_or_default());
         Ok((late, partial))
     });
     // Children go with the world; what still runs here goes with the set of tasks.
@@ -145,16 +144,20 @@
     Ok(Live { played, late, partial })
 }
 
-thread_local! {
-    static LATENESS: RefCell<Vec<Duration>> = const { RefCell::new(Vec::new()) };
-}
-
-async fn lateness() {
-    LATENESS.with_borrow_mut(Vec::clear);
+/// Keeps how late each of a row of timers rings.
+async fn lateness(rung: Rc<RefCell<Vec<Duration>>>) {
     loop {
         let due = Instant::now() + TICK;
         sleep_until(due).await;
-        LATENESS.with_borrow_mut(|all| all.push(due.elapsed()));
+        rung.borrow_mut().push(due.elapsed());
+    }
+}
+
+/// Waits until then; where there is no such time, for good.
+async fn reach(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at).await,
+        None => std::future::pending().await,
     }
 }
 
@@ -322,14 +325,8 @@
 async fn origin(world: Rc<World>) {
     loop {
         let next = world.state.borrow().origin.next().map(|at| world.instant(at));
-        let due = async {
-            match next {
-                Some(at) => sleep_until(at).await,
-                None => std::future::pending().await,
-            }
-        };
         tokio::select! {
-            () = due => {}
+            () = reach(next) => {}
             () = world.origin_news.notified() => {}
         }
         let now = world.now();
--- a/crates/rig/src/live/node.rs
+++ b/crates/rig/src/live/node.rs
@@ -1,6 +1,6 @@
 //! Nodes as processes of the real program: their configuration, their start, and their end.
 
-use super::{discovery, LiveError, World};
+use super::{LiveError, World};
 use crate::ledger::Fact;
 use decide::{Effect, Scope};
 use rustix::process::{kill_process, Pid, Signal};
@@ -40,10 +40,9 @@
     config: PathBuf,
 }
 
-/// Takes in a node that asks discovery at this address.
-pub fn prepare(world: &World, node: usize, discovery: SocketAddr) {
+/// Takes in a node that asks discovery at this address and starts from this list.
+pub fn prepare(world: &World, node: usize, discovery: SocketAddr, list: Value) {
     let config = world.folder.join(format!("node-{node}.json"));
-    let list = discovery::whole(world);
     let fresh =
         Node { discovery, address: None, child: None, fronted: false, leaving: false, life: 0, list, config };
     world.nodes.borrow_mut().push(fresh);
--- a/crates/rig/src/script/read.rs
+++ b/crates/rig/src/script/read.rs
@@ -65,7 +65,7 @@
     }
 }
 
-/// One table of a document. Every field that is asked for is known; [`Table::finish`] notes the others.
+/// One table of a document. Every field that is asked for is known, and the end of the reading notes the others.
 #[derive(Debug)]
 pub struct Table<'d> {
     document: &'d Document<'d>,
