--- /dev/null
+++ b/crates/rig/tests/properties.rs
@@ -0,0 +1,130 @@
+//! What holds for every script: a text is read or its faults are named, and a play keeps the rules and replays.
+
+use decide::{Effect, Scope};
+use proptest::prelude::*;
+use rig::report::Report;
+use rig::script::{Incident, Trouble};
+use rig::simulate::play;
+use rig::{scenarios, Script};
+use std::time::Duration;
+
+/// A shipped script with a stretch of it cut out and something else put there.
+fn spoilt() -> impl Strategy<Value = String> {
+    let odd = prop_oneof![
+        Just(String::new()),
+        Just("\"".into()),
+        Just("]]".into()),
+        Just("-1".into()),
+        Just("1e999".into()),
+        Just("99999999999999999999".into()),
+        Just("\u{0}\u{fe0f}é".into()),
+        Just("\n[[incident]]\n".into()),
+        ".{0,20}",
+    ];
+    let place = any::<prop::sample::Index>();
+    (prop::sample::select(scenarios::ALL.to_vec()), place, 0usize..40, odd).prop_map(
+        |(scenario, place, length, odd)| {
+            let text = scenario.text;
+            let boundary = |at: usize| (at..=text.len()).find(|&at| text.is_char_boundary(at));
+            let from = boundary(place.index(text.len())).unwrap_or(text.len());
+            let to = boundary((from + length).min(text.len())).unwrap_or(text.len());
+            format!("{}{odd}{}", &text[..from], &text[to..])
+        },
+    )
+}
+
+fn trouble() -> impl Strategy<Value = Trouble> {
+    let share = || 0.0..=1.0;
+    let batch = || 0.05..=1.0;
+    let drain = || (0u64..3_000).prop_map(Duration::from_millis);
+    prop_oneof![
+        (0.0..=0.7, drain()).prop_map(|(share, drain)| Trouble::Shrink { share, drain }),
+        (share(), batch(), drain(), any::<bool>()).prop_map(|(share, batch, drain, same_address)| {
+            Trouble::Deploy { share, batch, drain, same_address }
+        }),
+        (share(), batch(), drain(), any::<bool>())
+            .prop_map(|(share, batch, down, killed)| Trouble::RestartNodes { share, batch, down, killed }),
+        share().prop_map(|share| Trouble::Crash { share }),
+        share().prop_map(|share| Trouble::Vanish { share }),
+        share().prop_map(|share| Trouble::Pause { share }),
+        (share(), share()).prop_map(|(share, rate)| Trouble::Errors { share, rate }),
+        (share(), 0u64..60)
+            .prop_map(|(share, ms)| Trouble::Delay { share, extra: Duration::from_millis(ms) }),
+        (share(), share()).prop_map(|(share, rate)| Trouble::Loss { share, rate }),
+        (share(), share()).prop_map(|(share, rate)| Trouble::Resets { share, rate }),
+        share().prop_map(|share| Trouble::HalfOpen { share }),
+        (1u32..5, share()).prop_map(|(keys, share)| Trouble::HotKeys { keys, share }),
+        (0.1..4.0).prop_map(|factor| Trouble::Surge { factor }),
+        (0.1..20.0).prop_map(|factor| Trouble::SlowOrigin { factor }),
+        Just(Trouble::DiscoveryAway),
+    ]
+}
+
+fn effect() -> impl Strategy<Value = Effect> {
+    let scope = prop::sample::select(vec![Scope::All, Scope::Zone, Scope::Cell]);
+    prop_oneof![
+        Just(Effect::Safe),
+        Just(Effect::Unsafe),
+        (scope, 100u64..5_000)
+            .prop_map(|(scope, ms)| Effect::Keyed { scope, window: Duration::from_millis(ms) }),
+    ]
+}
+
+/// A small world in which anything goes wrong at any time.
+fn world() -> impl Strategy<Value = Script> {
+    let time = || (0u64..6_000).prop_map(Duration::from_millis);
+    let incident = (time(), time(), trouble()).prop_map(|(at, over, what)| Incident { at, over, what });
+    let incidents = prop::collection::vec(incident, 0..8);
+    let sizes = (any::<u64>(), 1u32..5, 1u32..10, 10.0..150.0);
+    let clients = (0u32..4, 0u64..100, 0.0..0.3);
+    let boxes = (prop::option::of(1u64..500), 2u32..40);
+    (sizes, clients, boxes, incidents, prop::collection::vec(effect(), 3)).prop_map(
+        |(sizes, clients, boxes, mut incidents, effects)| {
+            incidents.sort_by_key(|incident| incident.at);
+            let mut script = Script { length: Duration::from_secs(6), incidents, ..Script::default() };
+            script.boxes.truncate(1);
+            (script.seed, script.nodes, script.boxes[0].count, script.load.rate) = sizes;
+            let (retries, backoff, impatient) = clients;
+            (script.clients.retries, script.clients.impatient) = (retries, impatient);
+            script.clients.backoff = Duration::from_millis(backoff);
+            (script.boxes[0].idle, script.boxes[0].connections) =
+                (boxes.0.map(Duration::from_millis), boxes.1);
+            script.classes.iter_mut().zip(effects).for_each(|(class, effect)| class.effect = effect);
+            script
+        },
+    )
+}
+
+/// So many, unless `PROPTEST_CASES` says otherwise.
+fn cases(usual: u32) -> ProptestConfig {
+    let wanted = std::env::var("PROPTEST_CASES").ok().and_then(|text| text.parse().ok());
+    ProptestConfig { cases: wanted.unwrap_or(usual), failure_persistence: None, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(cases(512))]
+
+    #[test]
+    fn a_text_is_read_or_every_fault_names_a_line_that_it_has(text in spoilt()) {
+        if let Err(faults) = Script::parse("spoilt.toml", &text) {
+            prop_assert!(!faults.is_empty());
+            for fault in faults {
+                prop_assert!((1..=text.lines().count() + 1).contains(&fault.line), "{fault}");
+                prop_assert!(!fault.field.is_empty() && !fault.problem.is_empty(), "{fault}");
+            }
+        }
+    }
+
+}
+
+proptest! {
+    #![proptest_config(cases(64))]
+
+    #[test]
+    fn whatever_goes_wrong_the_rules_hold_and_the_same_script_plays_to_the_same_bytes(script in world()) {
+        let played = play(&script);
+        prop_assert_eq!(played.verdict.broken, [0; 4], "{:?}", played.verdict.breaches);
+        let json = |played| Report::new(&script, played).json();
+        prop_assert_eq!(json(played), json(play(&script)));
+    }
+}
--- /dev/null
+++ b/fuzz/fuzz_targets/script.rs
@@ -0,0 +1,13 @@
+//! The script reader: any text is read, or its faults have places in it.
+#![no_main]
+
+use libfuzzer_sys::fuzz_target;
+use rig::Script;
+
+fuzz_target!(|text: &str| {
+    if let Err(faults) = Script::parse("fuzzed.toml", text) {
+        assert!(!faults.is_empty());
+        let lines = text.lines().count() + 1;
+        assert!(faults.iter().all(|fault| (1..=lines).contains(&fault.line)), "{faults:?}");
+    }
+});
