--- a/crates/rig/src/script/read.rs
+++ b/crates/checked-toml/src/lib.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 use std::fmt::Display;
 use std::ops::RangeInclusive;
+use std::str::FromStr;
 use std::time::Duration;
 use thiserror::Error;
 use toml::de::{DeTable, DeValue};
@@ -115,6 +116,16 @@
         self.parsed(name, &expected, |value| value.as_str().filter(|text| accept(text)).map(str::to_owned))
     }
 
+    /// What a text is read as.
+    pub fn parse<T: FromStr>(&self, name: &'static str, expected: &str) -> Option<T> {
+        self.parsed(name, &expected, |value| value.as_str()?.parse().ok())
+    }
+
+    /// Whether there is such a field, of use or not.
+    pub fn has(&self, name: &str) -> bool {
+        self.table.contains_key(name)
+    }
+
     /// One of these words, by its place among them.
     pub fn word(&self, name: &'static str, words: &[&str]) -> Option<usize> {
         let expected = format!("one of {}", words.join(", "));
--- /dev/null
+++ b/crates/node/src/config/mod.rs
@@ -0,0 +1,55 @@
+//! What a node is told at its start: by the platform, or by an operator's file. Both become one [`Config`].
+
+pub mod operator;
+pub mod platform;
+
+use crate::listing::Listing;
+use decide::Settings;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Fewer descriptors than this don't hold the runtime's own and one connection each way.
+pub const LEAST_DESCRIPTORS: usize = 32;
+
+/// What a node is told at its start.
+#[derive(Debug)]
+pub struct Config {
+    /// It goes by this in the log.
+    pub name: String,
+    /// One at least.
+    pub listeners: Vec<Listener>,
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub descriptors: usize,
+    /// One at least.
+    pub pools: Vec<Pool>,
+}
+
+/// Where clients are accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listener {
+    pub name: String,
+    pub address: SocketAddr,
+}
+
+/// Cache servers that serve some classes of requests, and what is decided for these.
+#[derive(Debug)]
+pub struct Pool {
+    pub name: String,
+    pub source: Source,
+    /// The cache servers as this node last knew them.
+    pub known: Listing,
+    /// Its classes among them: a request's class tells its pool.
+    pub settings: Settings,
+}
+
+/// Where a pool's list comes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The platform's discovery, at this address.
+    Discovery(SocketAddr),
+    /// A file that is read again whenever it changes.
+    File(PathBuf),
+    /// The list is what it is.
+    Fixed,
+}
--- /dev/null
+++ b/crates/node/src/config/operator.rs
@@ -0,0 +1,290 @@
+//! An operator's file: TOML to [`Config`], and a list of cache servers of its own.
+//!
+//! All faults are found in one reading, each with its line and what was expected: serde would stop at the first one.
+
+use super::{Config, Listener, Pool, Source, LEAST_DESCRIPTORS};
+use crate::listing::{Host, Listing};
+use checked_toml::{time_text, Document, Fault, Table};
+use decide::{Class, Effect, Scope, Settings};
+use rustix::process::{getrlimit, Resource};
+use std::collections::BTreeSet;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use thiserror::Error;
+
+/// The version of the format that this program reads.
+const VERSION: u64 = 1;
+/// More descriptors than this are of no use to one thread.
+const MOST_DESCRIPTORS: u64 = 1 << 20;
+const MOST_NODES: u64 = 10_000;
+const TIME: RangeInclusive<Duration> = Duration::from_millis(1)..=Duration::from_secs(3_600);
+const SHARE: RangeInclusive<f64> = 0.0..=1.0;
+const NAME: &str = "a name of up to 64 letters, digits, '-', '_' and '.'";
+
+/// Why a file is of no use.
+#[derive(Debug, Error)]
+pub enum FileError {
+    #[error("{path}: {error}", path = .0.display(), error = .1)]
+    Unreadable(PathBuf, std::io::Error),
+    #[error("{}", .0.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))]
+    Faults(Vec<Fault>),
+}
+
+/// Reads the file of this path.
+pub fn load(path: &Path) -> Result<Config, FileError> {
+    let text = text(path)?;
+    let folder = path.parent().unwrap_or(Path::new(""));
+    Document::read(&path.display().to_string(), &text, |top| config(top, folder)).map_err(FileError::Faults)
+}
+
+/// Reads a list of cache servers from the file of this path, as the version that follows `seq`.
+pub fn load_servers(path: &Path, seq: u64) -> Result<Listing, FileError> {
+    let text = text(path)?;
+    let read = |top: &Table| {
+        version(top);
+        Listing { seq, whole: true, hosts: servers(top) }
+    };
+    Document::read(&path.display().to_string(), &text, read).map_err(FileError::Faults)
+}
+
+fn text(path: &Path) -> Result<String, FileError> {
+    std::fs::read_to_string(path).map_err(|error| FileError::Unreadable(path.to_owned(), error))
+}
+
+fn version(top: &Table) {
+    // A file of another version is a fault; there is only one yet.
+    let _ = top.need("version", top.count("version", VERSION..=VERSION));
+}
+
+fn named(text: &str) -> bool {
+    !text.is_empty()
+        && text.len() <= 64
+        && text.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
+}
+
+/// The name of a table; a fault where it has none, or where `taken` has it already.
+fn name(t: &Table, taken: &mut BTreeSet<String>) -> String {
+    let name = t.need("name", t.text("name", NAME, named));
+    if !name.is_empty() && !taken.insert(name.clone()) {
+        t.fault("name", format!("expected a name of its own, found \"{name}\" again"));
+    }
+    name
+}
+
+fn config(top: &Table, folder: &Path) -> Config {
+    version(top);
+    let name_of_node = top.text("name", NAME, named).unwrap_or_else(|| "pinhead".into());
+    let base = Settings { cancelling: true, second_copies: true, ..Settings::default() };
+    let limits = top.table("limits", |t| limits(t, &base));
+    let (descriptors, base) = limits.unwrap_or_else(|| (own_descriptors(), base));
+    let base = top.table("servers", |t| behaviour(t, &base)).unwrap_or(base);
+    let base = Settings {
+        zone: top.text("zone", NAME, named).map(|zone| zone.as_str().into()),
+        nodes: top.count("nodes", 1..=MOST_NODES).map_or(base.nodes, |n| n as u32),
+        ..base
+    };
+    let mut taken = BTreeSet::new();
+    let mut listeners = top.tables("listener", |t| Listener {
+        name: name(t, &mut taken),
+        address: address(t).unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0))),
+    });
+    if listeners.is_empty() {
+        let address = SocketAddr::from(([127, 0, 0, 1], 7070));
+        listeners.push(Listener { name: "clients".into(), address });
+    }
+    let mut taken = BTreeSet::new();
+    let mut pools = top.tables("pool", |t| pool(t, name(t, &mut taken), &base, folder));
+    if pools.is_empty() {
+        top.fault("pool", "expected at least one [[pool]]");
+    }
+    let mut taken = BTreeSet::new();
+    let classes = top.tables("class", |t| {
+        let class = class(t, name(t, &mut taken));
+        let wanted = t.text("pool", "the name of a [[pool]]", |name| pools.iter().any(|p| p.name == name));
+        let pool = match &pools[..] {
+            // That there is none is a fault of its own.
+            [] => String::new(),
+            [only] => wanted.unwrap_or_else(|| only.name.clone()),
+            _ => t.need("pool", wanted),
+        };
+        (pool, class)
+    });
+    if classes.is_empty() {
+        top.fault("class", "expected at least one [[class]]: requests of others are turned away");
+    }
+    for (pool, class) in classes {
+        if let Some(pool) = pools.iter_mut().find(|other| other.name == pool) {
+            pool.settings.classes.push(class);
+        }
+    }
+    let seed = top.count("seed", 0..=u64::MAX).unwrap_or_else(|| fastrand::u64(..));
+    Config { name: name_of_node, listeners, seed, descriptors, pools }
+}
+
+/// The descriptors that this process may hold.
+fn own_descriptors() -> usize {
+    getrlimit(Resource::Nofile).current.unwrap_or(MOST_DESCRIPTORS).min(MOST_DESCRIPTORS) as usize
+}
+
+fn limits(t: &Table, base: &Settings) -> (usize, Settings) {
+    let descriptors = t.count("descriptors", LEAST_DESCRIPTORS as u64..=MOST_DESCRIPTORS);
+    let settings = Settings {
+        max_attempts: t.count("max_attempts", 1..=20).map_or(base.max_attempts, |n| n as u32),
+        second_copies: t.flag("second_copies").unwrap_or(base.second_copies),
+        max_retry_after: t
+            .time("max_retry_after", Duration::ZERO..=*TIME.end())
+            .unwrap_or(Duration::from_secs(2)),
+        ..base.clone()
+    };
+    (descriptors.map_or_else(own_descriptors, |n| n as usize), settings)
+}
+
+/// What is known of how all cache servers behave.
+fn behaviour(t: &Table, base: &Settings) -> Settings {
+    Settings {
+        connect_timeout: t.time("connect_timeout", TIME).unwrap_or(base.connect_timeout),
+        keepalive: t.time("idle", TIME).unwrap_or(base.keepalive),
+        sized: t.flag("weights_tell_speed").unwrap_or(base.sized),
+        cold_share: t.number("cold_share", 0.01..=1.0).unwrap_or(base.cold_share),
+        warm_within: t.time("warm_within", TIME).unwrap_or(base.warm_within),
+        fall_multiple: t.number("fall_multiple", 1.0..=100.0).unwrap_or(base.fall_multiple),
+        fall_span: t.time("fall_span", TIME).unwrap_or(base.fall_span),
+        ..base.clone()
+    }
+}
+
+fn address(t: &Table) -> Option<SocketAddr> {
+    t.need("address", t.parse("address", "an address and port, such as \"127.0.0.1:7070\"").map(Some))
+}
+
+fn pool(t: &Table, name: String, base: &Settings, folder: &Path) -> Pool {
+    let discovery = t.parse("discovery", "an address and port, such as \"127.0.0.1:7100\"");
+    let file = t.text("file", "the path of a file", |path| !path.is_empty());
+    let hosts = servers(t);
+    let told = usize::from(t.has("discovery")) + usize::from(t.has("file")) + usize::from(t.has("server"));
+    if told != 1 {
+        t.fault("name", "expected exactly one of discovery, file and [[pool.server]] in this pool");
+    }
+    let source = match (discovery, file) {
+        (Some(discovery), _) => Source::Discovery(discovery),
+        (None, Some(file)) => Source::File(folder.join(file)),
+        (None, None) => Source::Fixed,
+    };
+    let settings = Settings { must_follow: matches!(source, Source::Discovery(_)), ..base.clone() };
+    Pool { name, source, known: Listing { seq: 0, whole: true, hosts }, settings }
+}
+
+fn servers(t: &Table) -> Vec<Host> {
+    let mut taken = BTreeSet::new();
+    t.tables("server", |t| Host {
+        host: name(t, &mut taken),
+        dial: address(t),
+        site: t.text("zone", NAME, named),
+        class: t.text("kind", NAME, named),
+        block: t.count("cell", 0..=u64::MAX),
+        health: t.word("health", &["ready", "draining"]).map_or("ready", |i| ["ready", "draining"][i]).into(),
+        share: t.number("weight", 0.0..=1e6),
+        born_ms: None,
+    })
+}
+
+fn class(t: &Table, name: String) -> Class {
+    let base = Class::default();
+    let scopes = [Scope::All, Scope::Zone, Scope::Cell];
+    let scope = t.word("scope", &["all", "zone", "cell"]);
+    let window = t.time("window", TIME);
+    let effect = match t.word("effect", &["safe", "keyed", "unsafe"]) {
+        Some(0) => Effect::Safe,
+        Some(1) => Effect::Keyed { scope: scopes[t.need("scope", scope)], window: t.need("window", window) },
+        // What says nothing is never repeated.
+        _ => Effect::Unsafe,
+    };
+    let class = Class {
+        name: name.as_str().into(),
+        effect,
+        aim: t.time("aim", TIME).unwrap_or(base.aim),
+        deadline: t.time("deadline", TIME).unwrap_or(base.deadline),
+        worth: t.number("worth", 0.0..=1e6).unwrap_or(base.worth),
+        late_worth: t.number("late_worth", SHARE).unwrap_or(0.4),
+    };
+    if class.deadline < class.aim {
+        t.fault("deadline", "expected a time no shorter than the aim");
+    }
+    class
+}
+
+/// What holds, defaults and all, as a file that says the same.
+pub fn effective(config: &Config) -> String {
+    let mut text = String::new();
+    // Writing to a text does not fail.
+    let _ = write_effective(&mut text, config);
+    text
+}
+
+fn write_effective(text: &mut String, config: &Config) -> std::fmt::Result {
+    let time = |time: Duration| format!("\"{}\"", time_text(time));
+    writeln!(text, "version = {VERSION}\nname = \"{}\"", config.name)?;
+    // They hold for all pools.
+    let Some(settings) = config.pools.first().map(|pool| &pool.settings) else { return Ok(()) };
+    if let Some(zone) = &settings.zone {
+        writeln!(text, "zone = \"{zone}\"")?;
+    }
+    writeln!(text, "nodes = {}", settings.nodes)?;
+    writeln!(text, "\n[limits]\ndescriptors = {}", config.descriptors)?;
+    writeln!(text, "max_attempts = {}", settings.max_attempts)?;
+    writeln!(text, "second_copies = {}", settings.second_copies)?;
+    writeln!(text, "max_retry_after = {}", time(settings.max_retry_after))?;
+    writeln!(text, "\n[servers]\nconnect_timeout = {}", time(settings.connect_timeout))?;
+    writeln!(text, "idle = {}\nweights_tell_speed = {}", time(settings.keepalive), settings.sized)?;
+    writeln!(text, "cold_share = {:?}\nwarm_within = {}", settings.cold_share, time(settings.warm_within))?;
+    writeln!(text, "fall_multiple = {:?}\nfall_span = {}", settings.fall_multiple, time(settings.fall_span))?;
+    for Listener { name, address } in &config.listeners {
+        writeln!(text, "\n[[listener]]\nname = \"{name}\"\naddress = \"{address}\"")?;
+    }
+    for pool in &config.pools {
+        writeln!(text, "\n[[pool]]\nname = \"{}\"", pool.name)?;
+        match &pool.source {
+            Source::Discovery(address) => writeln!(text, "discovery = \"{address}\"")?,
+            Source::File(path) => writeln!(text, "file = \"{}\"", path.display())?,
+            Source::Fixed => {}
+        }
+        for host in &pool.known.hosts {
+            writeln!(text, "[[pool.server]]\nname = \"{}\"", host.host)?;
+            if let Some(dial) = host.dial {
+                writeln!(text, "address = \"{dial}\"")?;
+            }
+            for (key, value) in [("zone", &host.site), ("kind", &host.class)] {
+                if let Some(value) = value {
+                    writeln!(text, "{key} = \"{value}\"")?;
+                }
+            }
+            if let Some(cell) = host.block {
+                writeln!(text, "cell = {cell}")?;
+            }
+            writeln!(text, "health = \"{}\"\nweight = {:?}", host.health, host.share.unwrap_or(1.0))?;
+        }
+    }
+    for pool in &config.pools {
+        for class in &pool.settings.classes {
+            writeln!(text, "\n[[class]]\nname = \"{}\"\npool = \"{}\"", class.name, pool.name)?;
+            match class.effect {
+                Effect::Safe => writeln!(text, "effect = \"safe\"")?,
+                Effect::Unsafe => writeln!(text, "effect = \"unsafe\"")?,
+                Effect::Keyed { scope, window } => {
+                    let scope = match scope {
+                        Scope::All => "all",
+                        Scope::Zone => "zone",
+                        Scope::Cell => "cell",
+                    };
+                    writeln!(text, "effect = \"keyed\"\nscope = \"{scope}\"\nwindow = {}", time(window))?;
+                }
+            }
+            writeln!(text, "aim = {}\ndeadline = {}", time(class.aim), time(class.deadline))?;
+            writeln!(text, "worth = {:?}\nlate_worth = {:?}", class.worth, class.late_worth)?;
+        }
+    }
+    Ok(())
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config/platform.rs
@@ -1,11 +1,10 @@
-//! `LB_CONFIG` and the environment, read into typed values.
+//! `LB_CONFIG` and the environment: what the platform tells its node.
 
+use super::{Config, Listener, Pool, Source, LEAST_DESCRIPTORS};
 use crate::listing::Listing;
 use decide::platform::{read_settings, PlatformError};
-use decide::Settings;
 use serde::Deserialize;
 use serde_json::Value;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use thiserror::Error;
 
@@ -28,20 +27,6 @@
     Sockets(usize),
 }
 
-/// What a node is told at its start.
-#[derive(Debug)]
-pub struct Config {
-    pub name: String,
-    pub listen: SocketAddr,
-    pub discovery: SocketAddr,
-    pub seed: u64,
-    /// Descriptors that the process may hold.
-    pub sockets: usize,
-    /// The cache servers as this node last knew them.
-    pub known: Listing,
-    pub settings: Settings,
-}
-
 #[derive(Deserialize)]
 struct File {
     name: String,
@@ -59,9 +44,6 @@
     sockets: usize,
 }
 
-/// Fewer descriptors than this don't hold the runtime's own and one connection each way.
-const LEAST_SOCKETS: usize = 32;
-
 /// The variable that goes before the file's `discovery` at the start. At a reload it is out of date, since a
 /// process keeps the environment that it started with: the file's word holds then.
 pub const DISCOVERY: &str = "LB_DISCOVERY";
@@ -77,19 +59,23 @@
         text.parse().map_err(|_| ConfigError::Address(name, text))
     };
     let sockets = file.limits.sockets;
-    if sockets < LEAST_SOCKETS {
+    if sockets < LEAST_DESCRIPTORS {
         return Err(ConfigError::Sockets(sockets));
     }
     let mut pairs = Vec::new();
     flatten(String::new(), &file.settings, &mut pairs);
+    let pool = Pool {
+        name: "pool".into(),
+        source: Source::Discovery(address(DISCOVERY, file.discovery)?),
+        known: file.known,
+        settings: read_settings(&pairs)?,
+    };
     Ok(Config {
         name: variable("LB_NAME").unwrap_or(file.name),
-        listen: address("LB_LISTEN", file.listen)?,
-        discovery: address(DISCOVERY, file.discovery)?,
+        listeners: vec![Listener { name: "clients".into(), address: address("LB_LISTEN", file.listen)? }],
         seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?,
-        sockets,
-        known: file.known,
-        settings: read_settings(&pairs)?,
+        descriptors: sockets,
+        pools: vec![pool],
     })
 }
 
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -1,15 +1,19 @@
 //! One node: start-up, wiring, SIGHUP and SIGTERM.
 
-use crate::config::{self, Config};
+use crate::config::{operator, platform, Config, Listener, Pool, Source};
 use crate::discovery::Discovery;
 use crate::driver::Driver;
-use crate::fronts::http1::{serve, Front};
+use crate::fronts::http1::{serve, Class, Front};
 use crate::fronts::table::Table;
+use crate::list_file;
 use crate::stage::Stage;
 use crate::upstream::Upstream;
 use decide::Balancer;
+use std::cell::Cell;
 use std::error::Error;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -22,67 +26,129 @@
 /// New connections keep coming for 0.4 s after SIGTERM: until the front has noticed, the node serves them.
 const LEAVING: Duration = Duration::from_millis(500);
 /// Descriptors left for the runtime, the listener, discovery and the standard streams.
-const SPARE_SOCKETS: usize = 24;
+const SPARE_DESCRIPTORS: usize = 24;
 
-/// Serves until SIGTERM, as the environment says.
+/// Serves until SIGTERM, as the platform's environment says.
 pub fn start() -> Result<(), Box<dyn Error>> {
-    let config = config::load(|name| std::env::var(name).ok())?;
+    let config = platform::load(|name| std::env::var(name).ok())?;
+    block_on(run(config, Kind::Platform))
+}
+
+/// Serves until SIGTERM, as an operator's file says.
+pub fn start_from(path: &Path) -> Result<(), Box<dyn Error>> {
+    let config = operator::load(path)?;
+    block_on(run(config, Kind::Operator))
+}
+
+fn block_on(running: impl Future<Output = Result<(), Box<dyn Error>>>) -> Result<(), Box<dyn Error>> {
     // A node has one core: one thread, and no locks between its parts.
     let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run(config))
+    LocalSet::new().block_on(&runtime, running)
+}
+
+/// Whose node it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Platform,
+    Operator,
 }
 
-async fn run(config: Config) -> Result<(), Box<dyn Error>> {
+async fn run(config: Config, kind: Kind) -> Result<(), Box<dyn Error>> {
     // Before anything else: a signal without a handler ends the process.
     let mut terminate = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
-    let Config { name, listen, discovery, seed, sockets, known, settings } = config;
-    let listener =
-        TcpListener::bind(listen).await.map_err(|error| format!("cannot listen on {listen}: {error}"))?;
-    eprintln!("node {name} listens on {}", listener.local_addr()?);
+    let Config { name, listeners, seed, descriptors, pools } = config;
+    let listeners = listen(&name, &listeners).await?;
 
     // A request holds a connection of its client for as long as one to a cache server.
-    let most = (sockets - SPARE_SOCKETS) / 2;
-    // Unbounded, and bounded all the same by the connections: each has one request, or one attempt, in it.
-    let (events, inputs) = mpsc::unbounded_channel();
+    let most = (descriptors - SPARE_DESCRIPTORS) / 2;
     let (stages, stage) = watch::channel(Stage::Serving);
-    let (follow, ready) = (Rc::new(Notify::new()), Rc::default());
-    let upstream = Rc::new(Upstream::new(most, settings.connect_timeout, settings.keepalive));
-    let front =
-        Rc::new(Front::new(&settings, Table::new(sockets, most), Rc::clone(&ready), stage, events.clone()));
-    let seq = (!known.hosts.is_empty()).then_some(known.seq);
-    let random = fastrand::Rng::with_seed(seed);
-    let (addresses, address) = watch::channel(discovery);
-    let watching = Discovery { address, seq, random, events: events.clone() };
-
-    spawn_local(upstream.clone().sweep());
+    // All pools' together.
+    let open = Rc::new(Cell::new(0));
+    let (mut classes, mut tenants, mut ready, mut addresses) =
+        (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+    for (number, pool) in pools.into_iter().enumerate() {
+        let Pool { source, known, settings, .. } = pool;
+        // Unbounded, and bounded all the same by the connections: each has one request, or one attempt, in it.
+        let (events, inputs) = mpsc::unbounded_channel();
+        let (follow, has_servers) = (Rc::new(Notify::new()), Rc::default());
+        classes.extend(Class::all(&settings, &events));
+        tenants.extend(settings.tenants.iter().map(|tenant| tenant.name.clone()));
+        let upstream =
+            Rc::new(Upstream::new(most, open.clone(), settings.connect_timeout, settings.keepalive));
+        spawn_local(upstream.clone().sweep());
+        match source {
+            Source::Discovery(at) => {
+                let seq = (!known.hosts.is_empty()).then_some(known.seq);
+                let random = fastrand::Rng::with_seed(seed);
+                let (sender, address) = watch::channel(at);
+                addresses.push(sender);
+                let watching = Discovery { address, seq, random, events: events.clone() };
+                spawn_local(watching.run(follow.clone()));
+            }
+            Source::File(path) => drop(spawn_local(list_file::watch(path, events.clone()))),
+            Source::Fixed => {}
+        }
+        let balancer = Balancer::new(settings, seed.wrapping_add(number as u64));
+        let driver = Driver::new(balancer, upstream, follow, Rc::clone(&has_servers), events);
+        spawn_local(driver.run(known, inputs));
+        ready.push(has_servers);
+    }
+    let front = Rc::new(Front::new(classes, tenants, Table::new(descriptors, most), ready, stage, most));
     spawn_local(front.table.clone().sweep());
-    spawn_local(watching.run(follow.clone()));
-    spawn_local(reload(hangup, addresses));
-    let balancer = Balancer::new(settings, seed);
-    spawn_local(Driver::new(balancer, upstream, follow, ready, events).run(known, inputs));
-    let serving = spawn_local(serve(listener, front, most));
+    if kind == Kind::Platform {
+        spawn_local(reload(hangup, addresses));
+    } else {
+        spawn_local(no_reload(hangup));
+    }
+    let serving: Vec<_> =
+        listeners.into_iter().map(|listener| spawn_local(serve(listener, front.clone()))).collect();
 
     terminate.recv().await;
     eprintln!("node {name} is told to stop");
     stages.send_replace(Stage::Leaving);
     sleep(LEAVING).await;
     stages.send_replace(Stage::Closing);
-    serving.await?;
+    for listener in serving {
+        listener.await?;
+    }
+    front.drained().await;
     Ok(())
 }
 
-/// Takes the configuration's `discovery` anew at each SIGHUP; the rest of it holds from the start. A file that
-/// cannot be used is one line in the log, and what the node had goes on.
-async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
+async fn listen(name: &str, listeners: &[Listener]) -> Result<Vec<TcpListener>, Box<dyn Error>> {
+    let mut bound = Vec::new();
+    for Listener { address, .. } in listeners {
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|error| format!("cannot listen on {address}: {error}"))?;
+        eprintln!("node {name} listens on {}", listener.local_addr()?);
+        bound.push(listener);
+    }
+    Ok(bound)
+}
+
+/// Takes the platform's `discovery` anew at each SIGHUP; the rest of it holds from the start. A file that cannot be
+/// used is one line in the log, and what the node had goes on.
+async fn reload(mut hangup: Signal, discoveries: Vec<watch::Sender<SocketAddr>>) {
     while hangup.recv().await.is_some() {
-        match config::load(|name| std::env::var(name).ok().filter(|_| name != config::DISCOVERY)) {
+        match platform::load(|name| std::env::var(name).ok().filter(|_| name != platform::DISCOVERY)) {
             Ok(new) => {
-                eprintln!("configuration read again: discovery at {}", new.discovery);
-                // One that stays is not asked again: its watch is as good as it was.
-                discovery.send_if_modified(|held| std::mem::replace(held, new.discovery) != new.discovery);
+                for (pool, held) in new.pools.iter().zip(&discoveries) {
+                    let Source::Discovery(at) = pool.source else { continue };
+                    eprintln!("configuration read again: discovery at {at}");
+                    // One that stays is not asked again: its watch is as good as it was.
+                    held.send_if_modified(|held| std::mem::replace(held, at) != at);
+                }
             }
             Err(error) => eprintln!("configuration not taken: {error}"),
         }
     }
 }
+
+/// An operator's file holds from the start.
+async fn no_reload(mut hangup: Signal) {
+    while hangup.recv().await.is_some() {
+        eprintln!("configuration not read again: this version takes it at the start only");
+    }
+}
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -155,7 +155,7 @@
         for (host, entry) in listing.hosts.iter().zip(entries.iter()) {
             match entry.availability {
                 Availability::Gone => self.upstream.forget(&entry.id),
-                state => self.upstream.learn(&entry.id, host.dial(), state == Availability::Ready),
+                state => self.upstream.learn(&entry.id, host.dial, state == Availability::Ready),
             }
         }
         if entries.iter().any(|entry| entry.availability == Availability::Ready) {
--- a/crates/node/src/fronts/http1.rs
+++ b/crates/node/src/fronts/http1.rs
@@ -41,45 +41,80 @@
 /// A full table in which nothing can give way yet is looked at again after this.
 const ROOM_PAUSE: Duration = Duration::from_millis(10);
 
+/// A class of requests, as a front has to know it.
+pub struct Class {
+    name: Name,
+    id: ClassId,
+    /// No client waits longer.
+    deadline: Duration,
+    /// To the driver of its pool.
+    events: UnboundedSender<Input>,
+}
+
+impl Class {
+    /// All of a pool, with the way to its driver.
+    pub fn all<'a>(
+        settings: &'a Settings,
+        events: &'a UnboundedSender<Input>,
+    ) -> impl Iterator<Item = Self> + 'a {
+        settings.classes.iter().enumerate().map(|(place, class)| Self {
+            name: class.name.clone(),
+            id: ClassId(place),
+            deadline: class.deadline,
+            events: events.clone(),
+        })
+    }
+}
+
 /// What all connections of clients share.
 pub struct Front {
-    /// Name and longest patience of each class.
-    pub classes: Vec<(Name, Duration)>,
+    pub classes: Vec<Class>,
     pub tenants: Vec<Name>,
-    pub ready: Rc<Cell<bool>>,
+    /// For each pool, whether it has known a server that takes work.
+    pub ready: Vec<Rc<Cell<bool>>>,
     pub stage: watch::Receiver<Stage>,
-    pub events: UnboundedSender<Input>,
     pub tickets: Cell<u64>,
     pub table: Rc<Table>,
+    /// Connections that it holds at the most, and a place for each.
+    most: usize,
+    places: Arc<Semaphore>,
     /// Ids of the requests that are open, or have an attempt out.
     open: OpenIds,
 }
 
 impl Front {
     pub fn new(
-        settings: &Settings,
+        classes: Vec<Class>,
+        tenants: Vec<Name>,
         table: Table,
-        ready: Rc<Cell<bool>>,
+        ready: Vec<Rc<Cell<bool>>>,
         stage: watch::Receiver<Stage>,
-        events: UnboundedSender<Input>,
+        most: usize,
     ) -> Self {
         Self {
-            classes: settings.classes.iter().map(|class| (class.name.clone(), class.deadline)).collect(),
-            tenants: settings.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
+            classes,
+            tenants,
             ready,
             stage,
-            events,
             tickets: Cell::new(0),
             table: Rc::new(table),
+            most,
+            places: Arc::new(Semaphore::new(most)),
             open: OpenIds::default(),
         }
     }
+
+    /// Waits until every connection has ended.
+    pub async fn drained(&self) {
+        // The semaphore is never closed.
+        let _ = self.places.acquire_many(self.most as u32).await;
+    }
 }
 
-/// Accepts and serves until the node closes, then returns when every connection has ended. It holds at most
-/// `most` connections; further ones wait unaccepted.
-pub async fn serve(listener: TcpListener, front: Rc<Front>, most: usize) {
-    let slots = Arc::new(Semaphore::new(most));
+/// Accepts and serves until the node closes. All listeners together hold the front's places; further connections wait
+/// unaccepted.
+pub async fn serve(listener: TcpListener, front: Rc<Front>) {
+    let slots = front.places.clone();
     let mut stage = front.stage.clone();
     let mut closing = pin!(stage.wait_for(|stage| *stage == Stage::Closing));
     loop {
@@ -108,8 +143,6 @@
         }
     }
     drop(listener);
-    // All slots are free when the last connection has ended. The semaphore is never closed.
-    let _ = slots.acquire_many(most as u32).await;
 }
 
 fn spawn_connection(stream: TcpStream, slot: OwnedSemaphorePermit, front: &Rc<Front>) {
@@ -194,7 +227,9 @@
         head.uri.path_and_query().cloned().ok_or_else(|| plain(StatusCode::BAD_REQUEST, "no path"))?;
     if target.path() == "/healthz" {
         return match head.method {
-            Method::GET if front.ready.get() && *front.stage.borrow() == Stage::Serving => {
+            Method::GET
+                if front.ready.iter().all(|pool| pool.get()) && *front.stage.borrow() == Stage::Serving =>
+            {
                 Ok(plain(StatusCode::OK, "ready"))
             }
             Method::GET => Ok(plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")),
@@ -240,6 +275,7 @@
 struct Terms {
     patience: Duration,
     class: ClassId,
+    events: UnboundedSender<Input>,
     tenant: Option<TenantId>,
     expected_work: Option<Duration>,
     client_retry: bool,
@@ -248,8 +284,7 @@
 fn read_head(front: &Front, headers: &HeaderMap) -> Result<Asked, &'static str> {
     let id = single(headers, &REQ_ID)?.filter(|id| !id.is_empty()).ok_or("no Req-Id")?;
     let class = text(headers, &REQ_KIND)?.ok_or("no Req-Kind")?;
-    let class =
-        front.classes.iter().position(|(name, _)| name.as_str() == class).ok_or("unknown Req-Kind")?;
+    let class = front.classes.iter().find(|known| known.name.as_str() == class).ok_or("unknown Req-Kind")?;
     let tenant = match text(headers, &REQ_OWNER)? {
         // Where there are no tenants, whatever stands there means nothing.
         _ if front.tenants.is_empty() => None,
@@ -268,8 +303,9 @@
         id: id.clone(),
         idempotency_key: single(headers, &IDEMPOTENCY_KEY)?.cloned(),
         terms: Terms {
-            patience: Duration::from_millis(patience.into()).min(front.classes[class].1),
-            class: ClassId(class),
+            patience: Duration::from_millis(patience.into()).min(class.deadline),
+            class: class.id,
+            events: class.events.clone(),
             tenant,
             expected_work: cost.map(|us| Duration::from_micros(us.into())),
             client_retry: text(headers, &REQ_RETRY)? == Some("1"),
@@ -321,9 +357,9 @@
         message,
         answer: sender,
     };
-    let mut waiting = Waiting { ticket, events: front.events.clone(), answered: false };
     // The driver only goes when the node does; its silence is a failure all the same.
-    let _ = front.events.send(Input::Taken(Box::new(taken)));
+    let _ = terms.events.send(Input::Taken(Box::new(taken)));
+    let mut waiting = Waiting { ticket, events: terms.events, answered: false };
     let answer = receiver.await.unwrap_or(Answer::Failed);
     waiting.answered = true;
     match answer {
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -16,22 +16,18 @@
 /// One cache server in it.
 #[derive(Debug, Deserialize)]
 pub struct Host {
-    host: String,
-    dial: Option<SocketAddr>,
-    site: Option<String>,
-    class: Option<String>,
-    block: Option<u64>,
-    health: String,
-    share: Option<f64>,
-    born_ms: Option<u64>,
+    pub host: String,
+    /// Where it listens; one that is gone may have no address.
+    pub dial: Option<SocketAddr>,
+    pub site: Option<String>,
+    pub class: Option<String>,
+    pub block: Option<u64>,
+    pub health: String,
+    pub share: Option<f64>,
+    pub born_ms: Option<u64>,
 }
 
 impl Host {
-    /// Where it listens; one that is gone may have no address.
-    pub fn dial(&self) -> Option<SocketAddr> {
-        self.dial
-    }
-
     /// The entry as the module knows it.
     pub fn entry(&self) -> ServerEntry {
         let started = self.born_ms.filter(|&at| at > 0);
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -6,12 +6,16 @@
 mod driver;
 mod fronts;
 mod input;
+mod list_file;
 mod listing;
 mod rehearse;
 mod stage;
 mod upstream;
 
+use crate::config::operator;
 use clap::{Parser, Subcommand};
+use std::error::Error;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// The load-balancing node of otterspur. Without a command it serves, as LB_CONFIG says.
@@ -24,19 +28,52 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Serves as an operator's file says
+    Run {
+        /// The file
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// Says all that is wrong with an operator's file, or what holds, defaults and all
+    Check {
+        /// The file
+        file: PathBuf,
+    },
     /// Plays an incident with the real decisions, and judges it
     Rehearse(rehearse::Arguments),
 }
 
+/// A file that cannot be used.
+const UNUSABLE: u8 = 2;
+
 fn main() -> ExitCode {
     match Arguments::parse().command {
         Some(Command::Rehearse(arguments)) => rehearse::run(arguments),
-        None => match daemon::start() {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(error) => {
-                eprintln!("pinhead: {error}");
-                ExitCode::FAILURE
-            }
-        },
+        Some(Command::Check { file }) => check(&file),
+        Some(Command::Run { config }) => served(daemon::start_from(&config)),
+        None => served(daemon::start()),
+    }
+}
+
+fn served(result: Result<(), Box<dyn Error>>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("pinhead: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn check(file: &Path) -> ExitCode {
+    match operator::load(file) {
+        Ok(config) => {
+            print!("{}", operator::effective(&config));
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(UNUSABLE)
+        }
     }
 }
--- a/crates/node/src/rehearse.rs
+++ b/crates/node/src/rehearse.rs
@@ -1,9 +1,9 @@
 //! `pinhead rehearse`: plays a script and shows what came of it.
 
+use checked_toml::{time_text, Fault};
 use clap::{Args, Subcommand, ValueEnum};
 use rig::page::page;
 use rig::report::{words, Report};
-use rig::script::read::{time_text, Fault};
 use rig::simulate::{self, Played, Sample};
 use rig::spread::{table, Spread};
 use rig::{live, scenarios, Script};
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -224,15 +224,9 @@
 }
 
 impl Upstream {
-    /// Keeps at most `most` connections.
-    pub fn new(most: usize, connect_timeout: Duration, keepalive: Duration) -> Self {
-        Self {
-            peers: RefCell::default(),
-            open: Rc::default(),
-            most,
-            connect_timeout,
-            idle_limit: keepalive / IDLE_SHARE,
-        }
+    /// Keeps at most `most` connections together with all that share `open`, their count.
+    pub fn new(most: usize, open: Rc<Cell<usize>>, connect_timeout: Duration, keepalive: Duration) -> Self {
+        Self { peers: RefCell::default(), open, most, connect_timeout, idle_limit: keepalive / IDLE_SHARE }
     }
 
     /// Takes in what discovery says of a server.
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -266,6 +266,11 @@
         let discovery = config["discovery"].as_str().unwrap();
         let mut command = command();
         command.env("LB_CONFIG", &path).env("LB_DISCOVERY", discovery);
+        Self::spawn(command, path)
+    }
+
+    /// Starts a node by this command, which has it serve from this file, and waits until it listens.
+    pub fn spawn(mut command: Command, config: std::path::PathBuf) -> Self {
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
@@ -276,7 +281,7 @@
         let lines: Arc<Mutex<Vec<String>>> = Arc::default();
         let kept = lines.clone();
         thread::spawn(move || log.lines().map_while(Result::ok).for_each(|l| kept.lock().unwrap().push(l)));
-        Self { address, child, log: lines, config: path }
+        Self { address, child, log: lines, config }
     }
 
     /// Starts a node and waits until it is ready for clients.
@@ -287,9 +292,7 @@
     }
 
     pub fn client(&self) -> Client {
-        let stream = TcpStream::connect(self.address).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        Client(BufReader::new(stream))
+        Client::to(self.address)
     }
 
     pub fn get(&self, path: &str) -> Message {
@@ -347,6 +350,12 @@
 pub struct Client(BufReader<TcpStream>);
 
 impl Client {
+    pub fn to(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Self(BufReader::new(stream))
+    }
+
     pub fn send(&mut self, text: &str) {
         self.0.get_mut().write_all(text.as_bytes()).unwrap();
     }
--- /dev/null
+++ b/crates/node/tests/operator.rs
@@ -0,0 +1,274 @@
+//! An operator's node: its file checked, and served from.
+
+mod common;
+
+use common::{answer, command, read, wait_for, CacheServer, Client, Discovery, Does, Node};
+use std::path::{Path, PathBuf};
+use std::process::Output;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// A folder that goes with the guard.
+struct Folder(PathBuf);
+
+static FOLDERS: AtomicU32 = AtomicU32::new(0);
+
+impl Folder {
+    fn new() -> Self {
+        let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
+        let path = std::env::temp_dir().join(format!("pinhead-operator-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Self(path)
+    }
+
+    fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).unwrap();
+        path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn check(path: &Path) -> Output {
+    command().arg("check").arg(path).output().unwrap()
+}
+
+fn text(bytes: &[u8]) -> &str {
+    std::str::from_utf8(bytes).unwrap()
+}
+
+const CLASS: &str =
+    "[[class]]\nname = \"read\"\neffect = \"safe\"\naim = \"5s\"\ndeadline = \"20s\"\nworth = 1.0\n";
+
+fn server(name: &str, server: &CacheServer) -> String {
+    format!("[[pool.server]]\nname = \"{name}\"\naddress = \"{}\"\n", server.address)
+}
+
+fn listener(name: &str) -> String {
+    format!("[[listener]]\nname = \"{name}\"\naddress = \"127.0.0.1:0\"\n")
+}
+
+/// A node that serves from a file of this text.
+fn run(folder: &Folder, text: &str) -> Node {
+    let path = folder.write("pinhead.toml", text);
+    let mut command = command();
+    command.arg("run").arg("--config").arg(&path);
+    let node = Node::spawn(command, path);
+    wait_for("the node's readiness", || node.get("/healthz").status() == 200);
+    node
+}
+
+#[test]
+fn the_example_is_without_fault_and_says_what_holds() {
+    let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/pinhead.toml");
+    let checked = check(&example);
+    assert!(checked.status.success(), "{}", text(&checked.stderr));
+    let effective = text(&checked.stdout);
+    for line in [
+        "name = \"n0\"",
+        "nodes = 20",
+        "second_copies = true",
+        "discovery = \"127.0.0.1:7100\"",
+        "late_worth = 0.4",
+    ] {
+        assert!(effective.lines().any(|other| other == line), "{line}\n{effective}");
+    }
+    // What it says is a file that says the same.
+    let folder = Folder::new();
+    let again = check(&folder.write("effective.toml", effective));
+    assert_eq!(text(&again.stdout), effective, "{}", text(&again.stderr));
+}
+
+/// The faults of a file with these lines behind its first.
+fn faults(lines: &str) -> Vec<String> {
+    let folder = Folder::new();
+    let path = folder.write("bad.toml", &format!("version = 1\n{lines}"));
+    let checked = check(&path);
+    assert_eq!(checked.status.code(), Some(2), "{lines}");
+    assert!(checked.stdout.is_empty());
+    let place = format!("{}/", folder.0.display());
+    text(&checked.stderr).lines().map(|line| line.replacen(&place, "", 1)).collect()
+}
+
+#[test]
+fn each_fault_has_its_line_its_field_and_what_was_expected() {
+    let pool = "[[pool]]\nname = \"p\"\ndiscovery = \"127.0.0.1:1\"\n";
+    let good = format!("{pool}{CLASS}");
+    let class = |rest: &str| format!("{pool}[[class]]\nname = \"a\"\n{rest}");
+    let cases = [
+        (CLASS.to_owned(), "bad.toml:1: pool: expected at least one [[pool]]"),
+        (pool.to_owned(), "bad.toml:1: class: expected at least one [[class]]"),
+        (format!("nodes = 0\n{good}"), "bad.toml:2: nodes: expected a whole number from 1 to 10000, found 0"),
+        (format!("name = \"a b\"\n{good}"), "bad.toml:2: name: expected a name of up to 64 letters"),
+        (format!("{good}[limit]\n"), "bad.toml:11: limit: unknown key; known here: class, limits, listener, "),
+        (
+            format!("{good}[limits]\ndescriptors = 3"),
+            "bad.toml:12: limits.descriptors: expected a whole number from 32 to 1048576, found 3",
+        ),
+        (
+            format!("{good}[servers]\ncold_share = 1.5"),
+            "bad.toml:12: servers.cold_share: expected a number from 0.01 to 1, found 1.5",
+        ),
+        (
+            format!("{good}{}{}", listener("a"), listener("a")),
+            "bad.toml:15: listener[1].name: expected a name of its own, found \"a\" again",
+        ),
+        (
+            format!("{good}[[listener]]\nname = \"a\"\naddress = \"localhost\""),
+            "bad.toml:13: listener[0].address: expected an address and port, such as \"127.0.0.1:7070\", found \"localhost\"",
+        ),
+        (
+            format!("[[pool]]\nname = \"p\"\n{CLASS}"),
+            "bad.toml:3: pool[0].name: expected exactly one of discovery, file and [[pool.server]] in this pool",
+        ),
+        (
+            format!("{pool}file = \"x\"\n{CLASS}"),
+            "bad.toml:3: pool[0].name: expected exactly one of discovery, file and [[pool.server]] in this pool",
+        ),
+        (
+            format!("{pool}[[pool]]\nname = \"q\"\ndiscovery = \"127.0.0.1:1\"\n{CLASS}"),
+            "bad.toml:8: class[0].pool: is missing",
+        ),
+        (class("pool = \"q\""), "bad.toml:7: class[0].pool: expected the name of a [[pool]], found \"q\""),
+        (class("effect = \"keyed\"\nscope = \"all\""), "bad.toml:5: class[0].window: is missing"),
+        (
+            class("aim = \"2s\"\ndeadline = \"1s\""),
+            "bad.toml:8: class[0].deadline: expected a time no shorter than the aim",
+        ),
+        (format!("{good}{CLASS}"), "bad.toml:12: class[1].name: expected a name of its own, found \"read\" again"),
+    ];
+    for (lines, expected) in cases {
+        let found = faults(&lines);
+        assert_eq!(found.len(), 1, "{lines}: {found:#?}");
+        assert!(found[0].starts_with(expected), "{lines}\n{}\n{expected}", found[0]);
+    }
+}
+
+#[test]
+fn all_faults_come_in_one_reading_and_nothing_is_served() {
+    let bad = "nodes = 0\nodd = 1\n[limits]\nmax_attempts = 99\n[[listener]]\naddress = \"x\"\n";
+    let found = faults(bad);
+    let fields: Vec<_> = found.iter().filter_map(|line| line.split(": ").nth(1)).collect();
+    let expected =
+        ["pool", "class", "nodes", "odd", "limits.max_attempts", "listener[0].name", "listener[0].address"];
+    assert_eq!(fields, expected);
+    let folder = Folder::new();
+    let path = folder.write("bad.toml", &format!("version = 1\n{bad}"));
+    let run = command().arg("run").arg("--config").arg(&path).output().unwrap();
+    assert_eq!(run.status.code(), Some(1));
+    assert!(text(&run.stderr).contains("bad.toml:3: odd: unknown key"), "{}", text(&run.stderr));
+    let missing = check(&folder.0.join("none.toml"));
+    assert_eq!(missing.status.code(), Some(2));
+    assert!(text(&missing.stderr).contains("none.toml: No such file"), "{}", text(&missing.stderr));
+}
+
+#[test]
+fn every_listener_serves_every_class_from_its_own_pool() {
+    let (one, other) = (CacheServer::serving("one"), CacheServer::serving("other"));
+    let class = |name: &str, pool: &str| {
+        format!("[[class]]\nname = \"{name}\"\npool = \"{pool}\"\neffect = \"safe\"\naim = \"5s\"\ndeadline = \"20s\"\n")
+    };
+    let folder = Folder::new();
+    let pools = format!(
+        "[[pool]]\nname = \"p\"\n{}[[pool]]\nname = \"q\"\n{}",
+        server("box", &one),
+        server("box", &other)
+    );
+    let listeners = format!("{}{}", listener("here"), listener("there"));
+    let node =
+        run(&folder, &format!("version = 1\n{listeners}{pools}{}{}", class("a", "p"), class("b", "q")));
+    let second = || node.log.lock().unwrap().iter().find_map(|line| line.rsplit(' ').next()?.parse().ok());
+    wait_for("the second listener", || second().is_some());
+    for mut client in [node.client(), Client::to(second().unwrap())] {
+        assert_eq!(client.ask(&read("a", 1, 20_000)).body, b"one");
+        assert_eq!(client.ask(&read("b", 1, 20_000)).body, b"other");
+    }
+    assert_eq!((one.count(), other.count()), (2, 2));
+    node.terminate();
+    assert!(node.exit().success());
+}
+
+#[test]
+fn a_pool_may_follow_discovery_and_is_not_ready_before_its_list_has_come() {
+    let server = CacheServer::serving("a");
+    let discovery = Discovery::start(&[]);
+    let folder = Folder::new();
+    let pool = format!("[[pool]]\nname = \"p\"\ndiscovery = \"{}\"\n", discovery.address);
+    let path = folder.write("pinhead.toml", &format!("version = 1\n{}{pool}{CLASS}", listener("clients")));
+    let mut command = command();
+    command.arg("run").arg("--config").arg(&path);
+    let node = Node::spawn(command, path);
+    discovery.wait_until_told(1);
+    assert_eq!(node.get("/healthz").status(), 503);
+    discovery.tell(true, &[server.entry("box", "ready")]);
+    wait_for("the node's readiness", || node.get("/healthz").status() == 200);
+    assert_eq!(node.read("read", 1).body, b"a");
+}
+
+// Guards against a list that is lost by a file that is replaced half-written, or not at all for a while.
+#[test]
+fn a_list_in_a_file_is_followed_and_one_that_cannot_be_read_changes_nothing() {
+    let (one, other) = (CacheServer::serving("one"), CacheServer::serving("other"));
+    let list = |entries: &[(&str, &CacheServer, &str)]| {
+        let tables = entries.iter().map(|(name, server, health)| {
+            format!(
+                "[[server]]\nname = \"{name}\"\naddress = \"{}\"\nhealth = \"{health}\"\n",
+                server.address
+            )
+        });
+        format!("version = 1\n{}", tables.collect::<String>())
+    };
+    let folder = Folder::new();
+    folder.write("boxes.toml", &list(&[("one", &one, "ready")]));
+    let pool = "[[pool]]\nname = \"p\"\nfile = \"boxes.toml\"\n";
+    let node = run(&folder, &format!("version = 1\n{}{pool}{CLASS}", listener("clients")));
+    assert_eq!(node.read("read", 1).body, b"one");
+    let logged = |words: &str| node.log.lock().unwrap().iter().any(|line| line.contains(words));
+    folder.write("boxes.toml", "version = 1\n[[server]]\nname = \"oth");
+    wait_for("a word of the half file", || logged("boxes.toml:3: TOML: "));
+    assert!(logged("list not taken; the one before holds"));
+    assert_eq!(node.read("read", 2).body, b"one");
+    std::fs::remove_file(folder.0.join("boxes.toml")).unwrap();
+    wait_for("a word of the file that is gone", || logged("boxes.toml: No such file"));
+    assert_eq!(node.read("read", 3).body, b"one");
+    let before = one.count();
+    folder.write("boxes.toml", &list(&[("one", &one, "draining"), ("other", &other, "ready")]));
+    wait_for("the new list", || node.read("read", 4).body == b"other");
+    assert_eq!(node.read("read", 5).body, b"other");
+    // While the new list was on its way the old one held.
+    let meanwhile = one.count() - before;
+    folder.write("boxes.toml", &list(&[("other", &other, "ready")]));
+    assert_eq!(node.read("read", 6).body, b"other");
+    assert_eq!(one.count() - before, meanwhile);
+}
+
+#[test]
+fn a_request_that_is_out_when_the_node_is_told_to_stop_is_finished_on_every_listener() {
+    let (sender, receiver) = std::sync::mpsc::channel::<()>();
+    let receiver = std::sync::Mutex::new(receiver);
+    let slow = CacheServer::start(move |_| {
+        let _ = receiver.lock().unwrap().recv();
+        Does::Answer(answer("200 OK", "", "late"))
+    });
+    let folder = Folder::new();
+    let pool = format!("[[pool]]\nname = \"p\"\n{}", server("box", &slow));
+    let listeners = format!("{}{}", listener("here"), listener("there"));
+    let node = run(&folder, &format!("version = 1\n{listeners}{pool}{CLASS}"));
+    let second = || node.log.lock().unwrap().iter().find_map(|line| line.rsplit(' ').next()?.parse().ok());
+    wait_for("the second listener", || second().is_some());
+    let mut client = Client::to(second().unwrap());
+    let asking = std::thread::spawn(move || client.ask(&read("read", 1, 20_000)));
+    wait_for("the request", || slow.count() == 1);
+    node.terminate();
+    let closing =
+        || node.log.lock().unwrap().iter().filter(|line| line.contains("no further clients")).count();
+    wait_for("both listeners to close", || closing() == 2);
+    sender.send(()).unwrap();
+    let answered = asking.join().unwrap();
+    assert_eq!((answered.status(), answered.body.as_slice()), (200, &b"late"[..]));
+    assert!(node.exit().success());
+}
--- a/crates/rig/src/live/mod.rs
+++ b/crates/rig/src/live/mod.rs
@@ -317,14 +317,9 @@
     fn sample(&self) -> Sample {
         let mut state = self.state.borrow_mut();
         let now = self.now();
-        let alive = || state.processes.iter().filter(|process| process.alive);
-        let sample = Sample {
-            held: alive().map(|process| process.server.held()).sum(),
-            origin_waiting: state.origin.waiting(),
-            running: alive().count(),
-            cold: alive().filter(|process| process.server.warmth(now) < 1.0).count(),
-            misses: state.counts.misses - state.counts.sampled_misses,
-        };
+        let alive = state.processes.iter().filter(|process| process.alive).map(|process| &process.server);
+        let misses = state.counts.misses - state.counts.sampled_misses;
+        let sample = Sample::of(alive, &state.origin, now, misses);
         state.counts.sampled_misses = state.counts.misses;
         if self.since_start() < self.script.length + Duration::from_millis(500) {
             state.counts.samples.push(sample);
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -1,9 +1,9 @@
 //! What a play came to, for people and for programs.
 
 use crate::ledger::Second;
-use crate::script::read::time_text;
 use crate::script::{Script, Trouble};
 use crate::simulate::Played;
+use checked_toml::time_text;
 use comfy_table::presets::UTF8_BORDERS_ONLY;
 use comfy_table::{CellAlignment, Table};
 use serde::Serialize;
--- a/crates/rig/src/script/file.rs
+++ b/crates/rig/src/script/file.rs
@@ -1,7 +1,7 @@
 //! A script's file: TOML to [`Script`], with the ranges that make sense.
 
-use super::read::{Document, Fault, Table};
 use super::*;
+use checked_toml::{time_text, Document, Fault, Table};
 use decide::Scope;
 use std::ops::RangeInclusive;
 
@@ -223,10 +223,7 @@
         if at < before {
             t.fault(
                 "at",
-                format!(
-                    "expected a time no earlier than the incident before, \"{}\"",
-                    read::time_text(before)
-                ),
+                format!("expected a time no earlier than the incident before, \"{}\"", time_text(before)),
             );
         }
         before = before.max(at);
--- a/crates/rig/src/script/mod.rs
+++ b/crates/rig/src/script/mod.rs
@@ -4,7 +4,6 @@
 //! nodes in two zones, without incidents.
 
 mod file;
-pub mod read;
 
 use decide::Effect;
 use std::time::Duration;
--- a/crates/rig/src/simulate/mod.rs
+++ b/crates/rig/src/simulate/mod.rs
@@ -86,6 +86,24 @@
     pub misses: u64,
 }
 
+impl Sample {
+    /// Of these cache servers and the origin, as they are now.
+    pub fn of<'a>(
+        running: impl Iterator<Item = &'a CacheServer>,
+        origin: &Origin,
+        now: Timestamp,
+        misses: u64,
+    ) -> Self {
+        let none = Self { origin_waiting: origin.waiting(), misses, ..Self::default() };
+        running.fold(none, |sample, server| Self {
+            held: sample.held + server.held(),
+            running: sample.running + 1,
+            cold: sample.cold + usize::from(server.warmth(now) < 1.0),
+            ..sample
+        })
+    }
+}
+
 /// Plays a script with the real decisions.
 pub fn play(script: &Script) -> Played {
     play_with(script, Safeguards::ALL, &mut |settings, seed| Box::new(Balancer::new(settings, seed)))
@@ -404,14 +422,9 @@
     }
 
     fn sample(&mut self) {
-        let alive = || self.processes.iter().filter(|process| process.alive);
-        self.samples.push(Sample {
-            held: alive().map(|process| process.server.held()).sum(),
-            origin_waiting: self.origin.waiting(),
-            running: alive().count(),
-            cold: alive().filter(|process| process.server.warmth(self.now) < 1.0).count(),
-            misses: self.misses - self.sampled_misses,
-        });
+        let alive = self.processes.iter().filter(|process| process.alive).map(|process| &process.server);
+        let misses = self.misses - self.sampled_misses;
+        self.samples.push(Sample::of(alive, &self.origin, self.now, misses));
         self.sampled_misses = self.misses;
         let next = self.now + Duration::from_secs(1);
         if next.since(Timestamp::default()) <= self.script.length {
