Speak to a service manager: readiness, status, stop, watchdog, passed sockets; units

Need: nodes run as ordinary daemons under a service manager, which has to know when one can serve and whether it still works.

Change: READY=1 once every pool has known a cache server that takes work, STATUS, STOPPING=1, and WATCHDOG=1 only after the loop of every pool has answered a question through its own queue. A thread of its own tells the manager, since a write to a full socket waits. Listeners by socket activation, by name, or whatever the name where there is one of each. The platform's node asks no manager.

Result: tests with a stand-in manager: not ready before the list, a watchdog that a stuck driver misses, a manager that is away or full holds up no request, a connection that came before the node is served. Two more cases for overlapping incidents, found by taking their code out.

--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -6,6 +6,7 @@
 use crate::fronts::http1::{serve, Class, Front};
 use crate::fronts::table::Table;
 use crate::list_file;
+use crate::manager::{Manager, Passed};
 use crate::stage::Stage;
 use crate::upstream::Upstream;
 use decide::Balancer;
@@ -58,7 +59,14 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
     let Config { name, listeners, seed, descriptors, pools } = config;
-    let listeners = listen(&name, &listeners).await?;
+    let (manager, passed) = match kind {
+        Kind::Platform => (Manager::none(), Passed::default()),
+        Kind::Operator => {
+            let names: Vec<_> = listeners.iter().map(|listener| listener.name.as_str()).collect();
+            (Manager::from_env(), Passed::from_env(&names)?)
+        }
+    };
+    let listeners = listen(&name, &listeners, passed).await?;
 
     // A request holds a connection of its client for as long as one to a cache server.
     let most = (descriptors - SPARE_DESCRIPTORS) / 2;
@@ -67,11 +75,13 @@
     let open = Rc::new(Cell::new(0));
     let (mut classes, mut tenants, mut ready, mut addresses) =
         (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+    let (mut drivers, mut names) = (Vec::new(), Vec::new());
     for (number, pool) in pools.into_iter().enumerate() {
-        let Pool { source, known, settings, .. } = pool;
+        let Pool { name, source, known, settings } = pool;
         // Unbounded, and bounded all the same by the connections: each has one request, or one attempt, in it.
         let (events, inputs) = mpsc::unbounded_channel();
-        let (follow, has_servers) = (Rc::new(Notify::new()), Rc::default());
+        let follow = Rc::new(Notify::new());
+        let (has_servers, servers) = watch::channel(false);
         classes.extend(Class::all(&settings, &events));
         tenants.extend(settings.tenants.iter().map(|tenant| tenant.name.clone()));
         let upstream =
@@ -90,10 +100,14 @@
             Source::Fixed => {}
         }
         let balancer = Balancer::new(settings, seed.wrapping_add(number as u64));
-        let driver = Driver::new(balancer, upstream, follow, Rc::clone(&has_servers), events);
+        let driver = Driver::new(balancer, upstream, follow, has_servers, events.clone());
         spawn_local(driver.run(known, inputs));
-        ready.push(has_servers);
+        ready.push(servers);
+        drivers.push(events);
+        names.push(name);
     }
+    spawn_local(tell_ready(manager.clone(), names, ready.clone()));
+    spawn_local(manager.clone().keep_watchdog(drivers));
     let front = Rc::new(Front::new(classes, tenants, Table::new(descriptors, most), ready, stage, most));
     spawn_local(front.table.clone().sweep());
     if kind == Kind::Platform {
@@ -106,6 +120,7 @@
 
     terminate.recv().await;
     eprintln!("node {name} is told to stop");
+    manager.stopping();
     stages.send_replace(Stage::Leaving);
     sleep(LEAVING).await;
     stages.send_replace(Stage::Closing);
@@ -116,12 +131,36 @@
     Ok(())
 }
 
-async fn listen(name: &str, listeners: &[Listener]) -> Result<Vec<TcpListener>, Box<dyn Error>> {
+/// Tells the manager when every pool has known a server that takes work, and until then which has not.
+async fn tell_ready(manager: Manager, names: Vec<String>, ready: Vec<watch::Receiver<bool>>) {
+    for (name, mut pool) in names.into_iter().zip(ready) {
+        if !*pool.borrow() {
+            manager.status(format!("waiting for cache servers of pool {name}"));
+        }
+        // The driver only goes when the node does.
+        if pool.wait_for(|ready| *ready).await.is_err() {
+            return;
+        }
+    }
+    manager.ready();
+}
+
+async fn listen(
+    name: &str,
+    listeners: &[Listener],
+    mut passed: Passed,
+) -> Result<Vec<TcpListener>, Box<dyn Error>> {
     let mut bound = Vec::new();
-    for Listener { address, .. } in listeners {
-        let listener = TcpListener::bind(address)
-            .await
-            .map_err(|error| format!("cannot listen on {address}: {error}"))?;
+    for Listener { name: listener, address } in listeners {
+        let listener = match passed.take(listener) {
+            Some(socket) => {
+                socket.set_nonblocking(true)?;
+                TcpListener::from_std(socket)?
+            }
+            None => TcpListener::bind(address)
+                .await
+                .map_err(|error| format!("cannot listen on {address}: {error}"))?,
+        };
         eprintln!("node {name} listens on {}", listener.local_addr()?);
         bound.push(listener);
     }
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -8,13 +8,12 @@
     Action, Availability, Balancer, Event, Outcome, Request, RequestId, ServerEntry, ServerId, ServerList,
     Status, Timestamp,
 };
-use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::{oneshot, watch, Notify};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, Instant};
 
@@ -70,7 +69,7 @@
     clock: Clock,
     upstream: Rc<Upstream>,
     follow: Rc<Notify>,
-    ready: Rc<Cell<bool>>,
+    ready: watch::Sender<bool>,
     events: UnboundedSender<Input>,
     open: HashMap<RequestId, Open>,
     timers: BTreeSet<(Instant, Timer)>,
@@ -83,7 +82,7 @@
         balancer: Balancer,
         upstream: Rc<Upstream>,
         follow: Rc<Notify>,
-        ready: Rc<Cell<bool>>,
+        ready: watch::Sender<bool>,
         events: UnboundedSender<Input>,
     ) -> Self {
         Self {
@@ -141,6 +140,8 @@
                     if listing.whole { ServerList::Full(entries) } else { ServerList::Changes(entries) };
                 self.due.push_back(Event::Servers(list));
             }
+            // Whoever asked may have given up.
+            Input::Alive(answer) => drop(answer.send(())),
             Input::ListingFailed => self.due.push_back(Event::Servers(ServerList::Unavailable)),
         }
     }
@@ -159,7 +160,7 @@
             }
         }
         if entries.iter().any(|entry| entry.availability == Availability::Ready) {
-            self.ready.set(true);
+            self.ready.send_if_modified(|ready| !std::mem::replace(ready, true));
         }
         entries
     }
--- a/crates/node/src/fronts/http1.rs
+++ b/crates/node/src/fronts/http1.rs
@@ -71,7 +71,7 @@
     pub classes: Vec<Class>,
     pub tenants: Vec<Name>,
     /// For each pool, whether it has known a server that takes work.
-    pub ready: Vec<Rc<Cell<bool>>>,
+    pub ready: Vec<watch::Receiver<bool>>,
     pub stage: watch::Receiver<Stage>,
     pub tickets: Cell<u64>,
     pub table: Rc<Table>,
@@ -87,7 +87,7 @@
         classes: Vec<Class>,
         tenants: Vec<Name>,
         table: Table,
-        ready: Vec<Rc<Cell<bool>>>,
+        ready: Vec<watch::Receiver<bool>>,
         stage: watch::Receiver<Stage>,
         most: usize,
     ) -> Self {
@@ -228,7 +228,8 @@
     if target.path() == "/healthz" {
         return match head.method {
             Method::GET
-                if front.ready.iter().all(|pool| pool.get()) && *front.stage.borrow() == Stage::Serving =>
+                if front.ready.iter().all(|pool| *pool.borrow())
+                    && *front.stage.borrow() == Stage::Serving =>
             {
                 Ok(plain(StatusCode::OK, "ready"))
             }
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -50,4 +50,6 @@
     },
     Listing(Listing),
     ListingFailed,
+    /// Whether the driver still does its work: it answers.
+    Alive(oneshot::Sender<()>),
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -8,6 +8,7 @@
 mod input;
 mod list_file;
 mod listing;
+mod manager;
 mod rehearse;
 mod stage;
 mod upstream;
--- /dev/null
+++ b/crates/node/src/manager.rs
@@ -0,0 +1,204 @@
+//! The service manager: told how far the node is, by the protocol of sd_notify(3), and asked for listeners that it opened
+//! (sd_listen_fds(3)). Without one, nothing is told and nobody is asked.
+
+use crate::input::Input;
+use listenfd::ListenFd;
+use sd_notify::NotifyState;
+use std::net::TcpListener;
+use std::sync::mpsc::{sync_channel, SyncSender};
+use std::time::Duration;
+use thiserror::Error;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+use tokio::time::{interval, timeout, MissedTickBehavior};
+
+/// Words that wait to be told; a manager that takes none loses what comes after.
+const WAITING: usize = 16;
+
+/// A word for the manager.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Word {
+    Ready,
+    Stopping,
+    Alive,
+    Status(String),
+}
+
+/// Sockets that were passed and cannot be used.
+#[derive(Debug, Error)]
+pub enum PassedError {
+    #[error("the service manager passed a socket \"{0}\", and there is no listener of this name")]
+    Unknown(String),
+    #[error("the socket \"{0}\" that the service manager passed is no listening TCP socket: {1}")]
+    Unusable(String, std::io::Error),
+}
+
+/// The way to the manager.
+#[derive(Clone, Debug)]
+pub struct Manager(Option<SyncSender<Word>>);
+
+impl Manager {
+    /// There is none.
+    pub fn none() -> Self {
+        Self(None)
+    }
+
+    /// As the environment names it.
+    pub fn from_env() -> Self {
+        if std::env::var_os("NOTIFY_SOCKET").is_none() {
+            return Self::none();
+        }
+        let (sender, words) = sync_channel(WAITING);
+        // A thread of its own: a manager that takes nothing must not hold up requests.
+        let telling = std::thread::Builder::new().name("manager".into()).spawn(move || {
+            let mut failed = false;
+            for word in words {
+                let told = match &word {
+                    Word::Ready => sd_notify::notify(&[NotifyState::Ready]),
+                    Word::Stopping => sd_notify::notify(&[NotifyState::Stopping]),
+                    Word::Alive => sd_notify::notify(&[NotifyState::Watchdog]),
+                    Word::Status(text) => sd_notify::notify(&[NotifyState::Status(text)]),
+                };
+                // One line for each time that it goes away.
+                if let Err(error) = &told {
+                    if !failed {
+                        eprintln!("the service manager is not told: {error}");
+                    }
+                }
+                failed = told.is_err();
+            }
+        });
+        match telling {
+            Ok(_) => Self(Some(sender)),
+            Err(error) => {
+                eprintln!("the service manager is not told: {error}");
+                Self(None)
+            }
+        }
+    }
+
+    fn tell(&self, word: Word) {
+        if let Some(sender) = &self.0 {
+            // What finds no room is lost: the node's work goes before it.
+            let _ = sender.try_send(word);
+        }
+    }
+
+    /// It can serve.
+    pub fn ready(&self) {
+        self.tell(Word::Status("serving".into()));
+        self.tell(Word::Ready);
+    }
+
+    /// It was told to stop.
+    pub fn stopping(&self) {
+        self.tell(Word::Stopping);
+        self.tell(Word::Status("stopping: finishing what was taken".into()));
+    }
+
+    /// For people who look.
+    pub fn status(&self, text: impl Into<String>) {
+        self.tell(Word::Status(text.into()));
+    }
+
+    /// Tells that the node lives, for as long as all drivers answer, if the manager wants to hear it.
+    pub async fn keep_watchdog(self, drivers: Vec<UnboundedSender<Input>>) {
+        let Some(limit) = sd_notify::watchdog_enabled() else { return };
+        watch(limit, &drivers, || self.tell(Word::Alive)).await;
+    }
+}
+
+/// Calls `alive` twice within each `limit`, as long as the loops that do the work answer.
+async fn watch(limit: Duration, drivers: &[UnboundedSender<Input>], alive: impl Fn()) {
+    let mut turns = interval(limit / 2);
+    turns.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        turns.tick().await;
+        if timeout(limit, answered(drivers)).await == Ok(true) {
+            alive();
+        }
+    }
+}
+
+/// Whether every driver takes a question out of its queue and answers it.
+async fn answered(drivers: &[UnboundedSender<Input>]) -> bool {
+    for driver in drivers {
+        let (answer, asked) = oneshot::channel();
+        if driver.send(Input::Alive(answer)).is_err() || asked.await.is_err() {
+            return false;
+        }
+    }
+    true
+}
+
+/// Listeners that the manager has opened already, by name.
+#[derive(Debug, Default)]
+pub struct Passed(Vec<(String, TcpListener)>);
+
+impl Passed {
+    /// As the environment has them. `names` are those of the node's listeners: where there is one of each, the socket is
+    /// that listener's whatever it is called.
+    pub fn from_env(names: &[&str]) -> Result<Self, PassedError> {
+        // Read before the other variables go.
+        let called = std::env::var("LISTEN_FDNAMES").unwrap_or_default();
+        let mut sockets = ListenFd::from_env();
+        let mut called = called.split(':');
+        let mut passed = Vec::new();
+        for place in 0..sockets.len() {
+            let name = called.next().filter(|name| !name.is_empty()).unwrap_or("unknown");
+            let name = match names {
+                [only] if sockets.len() == 1 => *only,
+                _ => name,
+            };
+            if !names.contains(&name) {
+                return Err(PassedError::Unknown(name.to_owned()));
+            }
+            let socket = sockets.take_tcp_listener(place);
+            let socket = socket.map_err(|error| PassedError::Unusable(name.to_owned(), error))?;
+            passed.extend(socket.map(|socket| (name.to_owned(), socket)));
+        }
+        Ok(Self(passed))
+    }
+
+    /// The one of this name.
+    pub fn take(&mut self, name: &str) -> Option<TcpListener> {
+        let place = self.0.iter().position(|(other, _)| other == name)?;
+        Some(self.0.swap_remove(place).1)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::cell::Cell;
+    use tokio::sync::mpsc::unbounded_channel;
+
+    // Guards against a watchdog that is fed by a timer while the loop that does the work is stuck.
+    #[tokio::test(start_paused = true)]
+    async fn the_watchdog_is_fed_twice_in_its_time_while_all_drivers_answer_and_not_after() {
+        let limit = Duration::from_secs(2);
+        let ((one, mut one_asked), (other, mut other_asked)) = (unbounded_channel(), unbounded_channel());
+        let drivers = [one, other];
+        let fed = Cell::new(0);
+        let answer = |input: Option<Input>| match input {
+            Some(Input::Alive(answer)) => answer.send(()).is_ok(),
+            _ => false,
+        };
+        let work = async {
+            for _ in 0..4 {
+                assert!(answer(one_asked.recv().await) && answer(other_asked.recv().await));
+            }
+            // The last answer may still be on its way.
+            assert!((3..=4).contains(&fed.get()), "{}", fed.get());
+            // From here on the second one is stuck: it takes nothing out of its queue.
+            for _ in 0..3 {
+                assert!(answer(one_asked.recv().await));
+            }
+            assert_eq!(fed.get(), 4);
+        };
+        tokio::select! {
+            () = watch(limit, &drivers, || fed.set(fed.get() + 1)) => {}
+            () = work => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/manager.rs
@@ -0,0 +1,180 @@
+//! An operator's node under a service manager: a stand-in that takes what sd_notify(3) sends, and passes sockets as
+//! sd_listen_fds(3) has it.
+
+mod common;
+
+use common::{command, read, wait_for, CacheServer, Client, Discovery, Node, PATIENCE};
+use std::net::TcpListener;
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixDatagram;
+use std::path::PathBuf;
+use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+static NUMBER: AtomicU32 = AtomicU32::new(0);
+
+/// The manager's socket and the node's file, in a folder that goes with the guard.
+struct Manager {
+    folder: PathBuf,
+    socket: UnixDatagram,
+}
+
+impl Manager {
+    fn start() -> Self {
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        let folder = std::env::temp_dir().join(format!("pinhead-manager-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let socket = UnixDatagram::bind(folder.join("notify")).unwrap();
+        socket.set_read_timeout(Some(PATIENCE)).unwrap();
+        Self { folder, socket }
+    }
+
+    /// The next word of the node's.
+    fn word(&self) -> String {
+        let mut bytes = [0; 4096];
+        let length = self.socket.recv(&mut bytes).expect("a word");
+        String::from_utf8(bytes[..length].to_vec()).unwrap().trim_end().to_owned()
+    }
+
+    /// Waits for this word, and gives those before it.
+    fn until(&self, wanted: &str) -> Vec<String> {
+        let words = std::iter::repeat_with(|| self.word());
+        words.take_while(|word| word != wanted).collect()
+    }
+
+    /// The command of a node that serves from a file of this text.
+    fn command(&self, text: &str) -> (Command, PathBuf) {
+        let path = self.folder.join("pinhead.toml");
+        std::fs::write(&path, text).unwrap();
+        let mut command = command();
+        command.arg("run").arg("--config").arg(&path).env("NOTIFY_SOCKET", self.folder.join("notify"));
+        (command, path)
+    }
+}
+
+impl Drop for Manager {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+const CLASS: &str = "[[class]]\nname = \"read\"\neffect = \"safe\"\naim = \"5s\"\ndeadline = \"20s\"\n";
+const LISTENER: &str = "[[listener]]\nname = \"clients\"\naddress = \"127.0.0.1:0\"\n";
+
+fn following(discovery: &Discovery) -> String {
+    format!(
+        "version = 1\n{LISTENER}[[pool]]\nname = \"records\"\ndiscovery = \"{}\"\n{CLASS}",
+        discovery.address
+    )
+}
+
+fn fixed(server: &CacheServer, listeners: &str) -> String {
+    let address = server.address;
+    format!("version = 1\n{listeners}[[pool]]\nname = \"records\"\n[[pool.server]]\nname = \"box\"\naddress = \"{address}\"\n{CLASS}")
+}
+
+#[test]
+fn it_is_told_when_the_node_can_serve_and_not_before_and_when_it_stops() {
+    let (manager, server, discovery) = (Manager::start(), CacheServer::serving("a"), Discovery::start(&[]));
+    let (command, path) = manager.command(&following(&discovery));
+    let node = Node::spawn(command, path);
+    // The list has come and holds nobody: the node listens, and cannot serve.
+    discovery.wait_until_told(1);
+    assert_eq!(manager.word(), "STATUS=waiting for cache servers of pool records");
+    assert_eq!(node.get("/healthz").status(), 503);
+    discovery.tell(true, &[server.entry("box", "ready")]);
+    assert_eq!(manager.until("READY=1"), ["STATUS=serving"]);
+    assert_eq!(node.read("read", 1).body, b"a");
+    node.terminate();
+    assert_eq!(manager.word(), "STOPPING=1");
+    assert!(node.exit().success());
+}
+
+#[test]
+fn a_watchdog_is_fed_for_as_long_as_the_node_works_and_by_no_node_that_was_not_asked_to() {
+    let (manager, server) = (Manager::start(), CacheServer::serving("a"));
+    let (mut command, path) = manager.command(&fixed(&server, LISTENER));
+    command.env("WATCHDOG_USEC", "100000");
+    let node = Node::spawn(command, path);
+    (0..3).for_each(|_| drop(manager.until("WATCHDOG=1")));
+    drop(node);
+    let (command, path) = manager.command(&fixed(&server, LISTENER));
+    let node = Node::spawn(command, path);
+    let _ = manager.until("READY=1");
+    node.terminate();
+    assert!(!manager.until("STOPPING=1").contains(&"WATCHDOG=1".to_owned()));
+    assert!(node.exit().success());
+}
+
+#[test]
+fn a_manager_that_is_away_or_takes_nothing_holds_up_no_request() {
+    let server = CacheServer::serving("a");
+    let away = Manager::start();
+    let (mut command, path) = away.command(&fixed(&server, LISTENER));
+    command.env("NOTIFY_SOCKET", away.folder.join("nobody"));
+    let node = Node::spawn(command, path);
+    let told = || node.log.lock().unwrap().iter().filter(|line| line.contains("is not told")).count();
+    wait_for("a word of it in the log", || told() > 0);
+    assert_eq!(node.read("read", 1).body, b"a");
+    assert_eq!(told(), 1, "one line, however many words are lost");
+    // Its queue is full: whoever writes to it now waits.
+    let full = Manager::start();
+    let filler = UnixDatagram::unbound().unwrap();
+    filler.set_nonblocking(true).unwrap();
+    while filler.send_to(b"X=1", full.folder.join("notify")).is_ok() {}
+    let (mut command, path) = full.command(&fixed(&server, LISTENER));
+    command.env("WATCHDOG_USEC", "2000");
+    let node = Node::spawn(command, path);
+    wait_for("the node's readiness", || node.get("/healthz").status() == 200);
+    (0..50).for_each(|key| assert_eq!(node.read("read", key).body, b"a"));
+    node.terminate();
+    assert!(node.exit().success());
+}
+
+/// A node that is started with this socket as its descriptor 3, called so.
+fn activated(manager: &Manager, text: &str, socket: TcpListener, name: &str) -> (Command, PathBuf) {
+    let (inner, path) = manager.command(text);
+    let mut command = Command::new("sh");
+    // The variables name the process that they are for: only it knows its id.
+    let script = "exec 3<&0 </dev/null; export LISTEN_PID=$$ LISTEN_FDS=1; exec \"$0\" \"$@\"";
+    command.arg("-c").arg(script).arg(inner.get_program()).args(inner.get_args());
+    for (key, value) in inner.get_envs() {
+        match value {
+            Some(value) => command.env(key, value),
+            None => command.env_remove(key),
+        };
+    }
+    command.env("LISTEN_FDNAMES", name).stdin(Stdio::from(OwnedFd::from(socket)));
+    (command, path)
+}
+
+#[test]
+fn a_socket_that_was_passed_is_listened_on_in_place_of_the_address() {
+    let (manager, server) = (Manager::start(), CacheServer::serving("a"));
+    let two = format!("{LISTENER}{}", LISTENER.replace("clients", "others"));
+    for (listeners, name) in [(LISTENER, "pinhead.socket"), (&two, "others")] {
+        let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = socket.local_addr().unwrap();
+        // A client that came before the node: the machine holds its connection.
+        let mut early = Client::to(address);
+        early.send(&read("read", 1, 20_000));
+        let (command, path) = activated(&manager, &fixed(&server, listeners), socket, name);
+        let node = Node::spawn(command, path);
+        assert_eq!(early.answer().expect("an answer").body, b"a", "{name}");
+        assert_eq!(Client::to(address).ask(&read("read", 2, 20_000)).body, b"a");
+        node.terminate();
+        assert!(node.exit().success());
+    }
+}
+
+#[test]
+fn a_socket_that_no_listener_wants_is_named_and_nothing_is_served() {
+    let (manager, server) = (Manager::start(), CacheServer::serving("a"));
+    let two = format!("{LISTENER}{}", LISTENER.replace("clients", "others"));
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut command, _) = activated(&manager, &fixed(&server, &two), socket, "odd");
+    let ended = command.output().unwrap();
+    assert_eq!(ended.status.code(), Some(1));
+    let said = String::from_utf8(ended.stderr).unwrap();
+    assert!(said.contains("passed a socket \"odd\", and there is no listener of this name"), "{said}");
+}
--- a/crates/node/tests/operator.rs
+++ b/crates/node/tests/operator.rs
@@ -83,6 +83,27 @@
     assert_eq!(text(&again.stdout), effective, "{}", text(&again.stderr));
 }
 
+// Guards against units that call what the program has no more.
+#[test]
+fn the_units_call_the_program_as_it_is_called() {
+    let deploy = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy");
+    let example = deploy.join("pinhead.toml");
+    for unit in ["pinhead.service", "pinhead@.service"] {
+        let unit = std::fs::read_to_string(deploy.join(unit)).unwrap();
+        let calls: Vec<_> = unit.lines().filter_map(|line| line.strip_prefix("ExecStart")).collect();
+        assert_eq!(calls.len(), 2, "{unit}");
+        assert!(unit.contains("Type=notify\n") && unit.contains("WatchdogSec="));
+        for call in calls {
+            let words = call.split_once('=').unwrap().1.split(' ').skip(1);
+            let words =
+                words.map(|word| if word.starts_with('/') { example.to_str().unwrap() } else { word });
+            // Behind arguments that it does not know it would not come to its help.
+            let called = command().args(words).arg("--help").output().unwrap();
+            assert!(called.status.success(), "{call}: {}", text(&called.stderr));
+        }
+    }
+}
+
 /// The faults of a file with these lines behind its first.
 fn faults(lines: &str) -> Vec<String> {
     let folder = Folder::new();
--- a/crates/rig/src/timeline.rs
+++ b/crates/rig/src/timeline.rs
@@ -434,6 +434,8 @@
             incident(4, 4, Trouble::Vanish { share: 1.0 }),
             incident(10, 3, Trouble::Delay { share: 1.0, extra }),
             incident(11, 1, Trouble::Delay { share: 1.0, extra }),
+            incident(15, 3, Trouble::Vanish { share: 1.0 }),
+            incident(16, 1, errors(0.5)),
             incident(20, 3, Trouble::Loss { share: 1.0, rate: 0.1 }),
             incident(21, 1, Trouble::Resets { share: 1.0, rate: 0.2 }),
         ]);
@@ -450,6 +452,10 @@
             (11, "true 0.00 20 0.00 0.00"),
             (12, "true 0.00 10 0.00 0.00"),
             (13, "true 0.00 0 0.00 0.00"),
+            (15, "false 0.00 0 0.00 0.00"),
+            (16, "false 0.50 0 0.00 0.00"),
+            (17, "false 0.00 0 0.00 0.00"),
+            (18, "true 0.00 0 0.00 0.00"),
             (20, "true 0.00 0 0.10 0.00"),
             (21, "true 0.00 0 0.10 0.20"),
             (22, "true 0.00 0 0.10 0.00"),
@@ -475,6 +481,9 @@
         assert_eq!(dead, words(&[(1, "stop"), (3, "drain"), (7, "stop")]));
         let replaced = seat_0(vec![incident(1, 0, deploy()), incident(3, 0, shrink())]);
         assert_eq!(replaced, words(&[(1, "drain"), (5, "stop")]), "no successor");
+        let crashed =
+            seat_0(vec![incident(1, 0, deploy()), incident(3, 0, shrink()), incident(6, 2, crash())]);
+        assert_eq!(crashed, words(&[(1, "drain"), (5, "stop"), (6, "stop")]), "nobody to revive");
     }
 
     // Guards against a second deploy that ends the successor of the first, which nobody has drained.
