Give what an attempt came to one type in the played node, and tests one folder

Need: status, hit and load report went through six signatures side by side; two test files had a folder guard each.

Change: Ended in the player in virtual time; Folder in the node's test support.

--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -212,6 +212,30 @@
     }
 }
 
+/// A folder of a test's own, which goes with the guard.
+pub struct Folder(pub std::path::PathBuf);
+
+impl Folder {
+    pub fn new() -> Self {
+        let number = NUMBERS.fetch_add(1, Ordering::SeqCst);
+        let path = std::env::temp_dir().join(format!("pinhead-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Self(path)
+    }
+
+    pub fn write(&self, name: &str, text: &str) -> std::path::PathBuf {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).unwrap();
+        path
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
 /// A running node; it is killed with the test.
 pub struct Node {
     pub address: SocketAddr,
@@ -241,10 +265,10 @@
     })
 }
 
-static CONFIGS: AtomicU32 = AtomicU32::new(0);
+static NUMBERS: AtomicU32 = AtomicU32::new(0);
 
 pub fn write_config(text: &str) -> std::path::PathBuf {
-    let number = CONFIGS.fetch_add(1, Ordering::SeqCst);
+    let number = NUMBERS.fetch_add(1, Ordering::SeqCst);
     let path = std::env::temp_dir().join(format!("pinhead-{}-{number}.json", std::process::id()));
     std::fs::write(&path, text).unwrap();
     path
--- a/crates/node/tests/manager.rs
+++ b/crates/node/tests/manager.rs
@@ -3,28 +3,23 @@
 
 mod common;
 
-use common::{command, read, wait_for, CacheServer, Client, Discovery, Node, PATIENCE};
+use common::{command, read, wait_for, CacheServer, Client, Discovery, Folder, Node, PATIENCE};
 use std::net::TcpListener;
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixDatagram;
 use std::path::PathBuf;
 use std::process::{Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
 
-static NUMBER: AtomicU32 = AtomicU32::new(0);
-
-/// The manager's socket and the node's file, in a folder that goes with the guard.
+/// The manager's socket and the node's file.
 struct Manager {
-    folder: PathBuf,
+    folder: Folder,
     socket: UnixDatagram,
 }
 
 impl Manager {
     fn start() -> Self {
-        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
-        let folder = std::env::temp_dir().join(format!("pinhead-manager-{}-{number}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
-        let socket = UnixDatagram::bind(folder.join("notify")).unwrap();
+        let folder = Folder::new();
+        let socket = UnixDatagram::bind(folder.0.join("notify")).unwrap();
         socket.set_read_timeout(Some(PATIENCE)).unwrap();
         Self { folder, socket }
     }
@@ -44,20 +39,13 @@
 
     /// The command of a node that serves from a file of this text.
     fn command(&self, text: &str) -> (Command, PathBuf) {
-        let path = self.folder.join("pinhead.toml");
-        std::fs::write(&path, text).unwrap();
+        let path = self.folder.write("pinhead.toml", text);
         let mut command = command();
-        command.arg("run").arg("--config").arg(&path).env("NOTIFY_SOCKET", self.folder.join("notify"));
+        command.arg("run").arg("--config").arg(&path).env("NOTIFY_SOCKET", self.folder.0.join("notify"));
         (command, path)
     }
 }
 
-impl Drop for Manager {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
 const CLASS: &str = "[[class]]\nname = \"read\"\neffect = \"safe\"\naim = \"5s\"\ndeadline = \"20s\"\n";
 const LISTENER: &str = "[[listener]]\nname = \"clients\"\naddress = \"127.0.0.1:0\"\n";
 
@@ -111,7 +99,7 @@
     let server = CacheServer::serving("a");
     let away = Manager::start();
     let (mut command, path) = away.command(&fixed(&server, LISTENER));
-    command.env("NOTIFY_SOCKET", away.folder.join("nobody"));
+    command.env("NOTIFY_SOCKET", away.folder.0.join("nobody"));
     let node = Node::spawn(command, path);
     let told = || node.log.lock().unwrap().iter().filter(|line| line.contains("is not told")).count();
     wait_for("a word of it in the log", || told() > 0);
@@ -121,7 +109,7 @@
     let full = Manager::start();
     let filler = UnixDatagram::unbound().unwrap();
     filler.set_nonblocking(true).unwrap();
-    while filler.send_to(b"X=1", full.folder.join("notify")).is_ok() {}
+    while filler.send_to(b"X=1", full.folder.0.join("notify")).is_ok() {}
     let (mut command, path) = full.command(&fixed(&server, LISTENER));
     command.env("WATCHDOG_USEC", "2000");
     let node = Node::spawn(command, path);
--- a/crates/node/tests/operator.rs
+++ b/crates/node/tests/operator.rs
@@ -2,36 +2,9 @@
 
 mod common;
 
-use common::{answer, command, read, wait_for, CacheServer, Client, Discovery, Does, Node};
-use std::path::{Path, PathBuf};
+use common::{answer, command, read, wait_for, CacheServer, Client, Discovery, Does, Folder, Node};
+use std::path::Path;
 use std::process::Output;
-use std::sync::atomic::{AtomicU32, Ordering};
-
-/// A folder that goes with the guard.
-struct Folder(PathBuf);
-
-static FOLDERS: AtomicU32 = AtomicU32::new(0);
-
-impl Folder {
-    fn new() -> Self {
-        let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
-        let path = std::env::temp_dir().join(format!("pinhead-operator-{}-{number}", std::process::id()));
-        std::fs::create_dir_all(&path).unwrap();
-        Self(path)
-    }
-
-    fn write(&self, name: &str, text: &str) -> PathBuf {
-        let path = self.0.join(name);
-        std::fs::write(&path, text).unwrap();
-        path
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
 
 fn check(path: &Path) -> Output {
     command().arg("check").arg(path).output().unwrap()
--- a/crates/rig/src/simulate/agenda.rs
+++ b/crates/rig/src/simulate/agenda.rs
@@ -1,7 +1,8 @@
 //! What is due in a play, in the order of time.
 
+use super::Ended;
 use crate::ledger::Answer;
-use decide::{Availability, LoadReport, Status, Timestamp};
+use decide::{Availability, Timestamp};
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
 use std::time::Duration;
@@ -45,9 +46,7 @@
     Back {
         request: usize,
         attempt: usize,
-        status: Status,
-        hit: bool,
-        load: LoadReport,
+        came: Ended,
     },
     Timeout {
         request: usize,
--- a/crates/rig/src/simulate/attempts.rs
+++ b/crates/rig/src/simulate/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::agenda::What;
 use super::nodes::request_id;
-use super::{Attempt, Kept, Play, Process, Try, ATTEMPTS, GUARD};
+use super::{Attempt, Ended, Kept, Play, Process, Try, ATTEMPTS, GUARD};
 use crate::conduct;
 use crate::draw::Draw;
 use crate::fleet;
@@ -37,7 +37,7 @@
                 given_up: true,
             };
             self.tries[request].attempts.push(never);
-            return Some(self.outcome(request, attempt, Status::Ignored, false, LoadReport::default()));
+            return Some(self.outcome(request, attempt, Ended::without_answer(Status::Ignored)));
         }
         let kept = self.kept(node, host, request, attempt);
         self.tries[request].attempts.push(Attempt {
@@ -135,8 +135,8 @@
     }
 
     pub(super) fn fail_later(&mut self, at: Timestamp, request: usize, attempt: usize) {
-        let (status, hit, load) = (Status::ConnectError, false, LoadReport::default());
-        self.agenda.put(at, What::Back { request, attempt, status, hit, load });
+        let came = Ended::without_answer(Status::ConnectError);
+        self.agenda.put(at, What::Back { request, attempt, came });
     }
 
     /// The first byte of an attempt goes out, unless the news that came meanwhile forbids it.
@@ -151,7 +151,7 @@
         let alive = process.is_some_and(|process| self.processes[process].alive);
         if !alive || self.guard.keeps_back && !ready {
             self.give_up(request, attempt);
-            return self.end_attempt(request, attempt, Status::ConnectError, false, LoadReport::default());
+            return self.end_attempt(request, attempt, Ended::without_answer(Status::ConnectError));
         }
         self.tries[request].attempts[attempt].written = true;
         let server = self.hosts[host].number;
@@ -206,22 +206,15 @@
             }
             None => LoadReport::default(),
         };
-        self.agenda.put(self.now + way, What::Back { request, attempt, status, hit, load });
+        self.agenda.put(self.now + way, What::Back { request, attempt, came: Ended { status, hit, load } });
     }
 
-    pub(super) fn back(
-        &mut self,
-        request: usize,
-        attempt: usize,
-        status: Status,
-        hit: bool,
-        load: LoadReport,
-    ) {
+    pub(super) fn back(&mut self, request: usize, attempt: usize, came: Ended) {
         let Attempt { host, process, made, ended, given_up, .. } = self.tries[request].attempts[attempt];
         if ended || given_up || !self.lives(request) {
             return;
         }
-        if matches!(status, Status::Ok | Status::Failed | Status::QueueFull) {
+        if matches!(came.status, Status::Ok | Status::Failed | Status::QueueFull) {
             // The connection is good for another request, unless the news forbids that.
             let node = self.tries[request].node;
             let list = &self.nodes[node].list;
@@ -236,7 +229,7 @@
         } else {
             self.give_up(request, attempt);
         }
-        self.end_attempt(request, attempt, status, hit, load);
+        self.end_attempt(request, attempt, came);
     }
 
     /// The node closes the attempt's connection.
@@ -249,29 +242,16 @@
         }
     }
 
-    pub(super) fn end_attempt(
-        &mut self,
-        request: usize,
-        attempt: usize,
-        status: Status,
-        hit: bool,
-        load: LoadReport,
-    ) {
+    pub(super) fn end_attempt(&mut self, request: usize, attempt: usize, came: Ended) {
         if self.lives(request) {
             let node = self.tries[request].node;
-            let outcome = self.outcome(request, attempt, status, hit, load);
+            let outcome = self.outcome(request, attempt, came);
             self.decide(node, outcome);
         }
     }
 
-    pub(super) fn outcome(
-        &mut self,
-        request: usize,
-        attempt: usize,
-        status: Status,
-        hit: bool,
-        load: LoadReport,
-    ) -> Event {
+    pub(super) fn outcome(&mut self, request: usize, attempt: usize, came: Ended) -> Event {
+        let Ended { status, hit, load } = came;
         let Attempt { host, sent, .. } = self.tries[request].attempts[attempt];
         self.tries[request].attempts[attempt].ended = true;
         if status == Status::Ok && !self.tries[request].answered {
--- a/crates/rig/src/simulate/mod.rs
+++ b/crates/rig/src/simulate/mod.rs
@@ -230,6 +230,20 @@
     given_up: bool,
 }
 
+/// What an attempt came to, as its node sees it.
+#[derive(Clone, Copy, Debug)]
+struct Ended {
+    status: Status,
+    hit: bool,
+    load: LoadReport,
+}
+
+impl Ended {
+    fn without_answer(status: Status) -> Self {
+        Self { status, hit: false, load: LoadReport::default() }
+    }
+}
+
 struct Play<'a> {
     script: &'a Script,
     guard: Safeguards,
@@ -379,15 +393,13 @@
             }
             What::Write { request, attempt } => self.write(request, attempt),
             What::Reach { request, attempt } => self.reach(request, attempt),
-            What::Back { request, attempt, status, hit, load } => {
-                self.back(request, attempt, status, hit, load)
-            }
+            What::Back { request, attempt, came } => self.back(request, attempt, came),
             What::Timeout { request, attempt } => {
                 let Attempt { written, ended, .. } = self.tries[request].attempts[attempt];
                 if !ended {
                     self.give_up(request, attempt);
                     let status = if written { Status::TimedOut } else { Status::ConnectError };
-                    self.end_attempt(request, attempt, status, false, LoadReport::default());
+                    self.end_attempt(request, attempt, Ended::without_answer(status));
                 }
             }
             What::Look(process) => {
--- a/crates/rig/src/simulate/nodes.rs
+++ b/crates/rig/src/simulate/nodes.rs
@@ -1,11 +1,11 @@
 //! Nodes in virtual time: the daemon round the decisions, as far as it shows from outside.
 
 use super::agenda::What;
-use super::{Kept, Play, Try, GUARD, KILL_AFTER, LEAVE_HEARD, LEAVING, MARGIN};
+use super::{Ended, Kept, Play, Try, GUARD, KILL_AFTER, LEAVE_HEARD, LEAVING, MARGIN};
 use crate::demand::Ask;
 use crate::fleet;
 use crate::ledger::{Answer, Fact};
-use decide::{Action, ClassId, Event, LoadReport, Request, RequestId, Status};
+use decide::{Action, ClassId, Event, Request, RequestId, Status};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -100,13 +100,7 @@
                 let ended = self.tries[request].attempts.get(attempt).is_none_or(|attempt| attempt.ended);
                 if !ended {
                     self.give_up(request, attempt);
-                    return Some(self.outcome(
-                        request,
-                        attempt,
-                        Status::Canceled,
-                        false,
-                        LoadReport::default(),
-                    ));
+                    return Some(self.outcome(request, attempt, Ended::without_answer(Status::Canceled)));
                 }
             }
             Action::Refuse { id, retry_after } => self.answer(request_of(&id)?, Answer::Refused, retry_after),
