--- a/crates/node/src/manager.rs
+++ b/crates/node/src/manager.rs
@@ -198,7 +198,8 @@
         };
         tokio::select! {
             () = watch(limit, &drivers, || fed.set(fed.get() + 1)) => {}
-            () = work => {}
+            // Without an answer to a question it would wait for good.
+            done = timeout(limit * 50, work) => done.expect("a question to every driver"),
         }
     }
 }
