Mend what a second reading of the operator's node found: defaults, lost words, blocking reads

Found: the longest advised wait was 2 s only where the file had a [limits] table, and none without it, so refusals told clients nothing. READY=1 was dropped where many words of the watchdog waited, and a start that nobody hears of never ends. A list's file was read on the thread of all requests, without a bound, twice, and taken from the second reading. A relative path in what check prints meant another file elsewhere. Many listeners and pools used up the descriptors left for the node. Pools had the same jitter towards discovery. Two passed sockets of one name: one was closed, unsaid. A test of delays held with nothing to look at.

Change: one base of defaults; no word to the manager is lost, and one that the node lives waits at a time; lists are read beside the loop, 8 MiB at the most, and what was compared is what is taken; paths are absolute; listeners and pools count among the node's own descriptors, which are no more than the system grants; the bound of memory is stated.

The platform's node computes as before: one listener, one pool, the same seed.

--- a/crates/node/src/config/operator.rs
+++ b/crates/node/src/config/operator.rs
@@ -9,6 +9,7 @@
 use rustix::process::{getrlimit, Resource};
 use std::collections::BTreeSet;
 use std::fmt::Write;
+use std::io::Read;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
@@ -17,8 +18,11 @@
 
 /// The version of the format that this program reads.
 const VERSION: u64 = 1;
-/// More descriptors than this are of no use to one thread.
-const MOST_DESCRIPTORS: u64 = 1 << 20;
+/// More descriptors than this are of no use to one thread. Each two are a client's connection, which may hold a head of
+/// 16 KiB and a body of 64 KiB: 2.5 GiB at the most.
+const MOST_DESCRIPTORS: u64 = 1 << 16;
+/// A list that is longer is none.
+const LARGEST_LIST: u64 = 8 << 20;
 const MOST_NODES: u64 = 10_000;
 const TIME: RangeInclusive<Duration> = Duration::from_millis(1)..=Duration::from_secs(3_600);
 const SHARE: RangeInclusive<f64> = 0.0..=1.0;
@@ -35,23 +39,34 @@
 
 /// Reads the file of this path.
 pub fn load(path: &Path) -> Result<Config, FileError> {
-    let text = text(path)?;
-    let folder = path.parent().unwrap_or(Path::new(""));
+    let unreadable = |error| FileError::Unreadable(path.to_owned(), error);
+    let text = std::fs::read_to_string(path).map_err(unreadable)?;
+    // What is named beside the file stays there, wherever what holds is written down.
+    let whole = std::path::absolute(path).map_err(unreadable)?;
+    let folder = whole.parent().unwrap_or(Path::new(""));
     Document::read(&path.display().to_string(), &text, |top| config(top, folder)).map_err(FileError::Faults)
 }
 
-/// Reads a list of cache servers from the file of this path, as the version that follows `seq`.
-pub fn load_servers(path: &Path, seq: u64) -> Result<Listing, FileError> {
-    let text = text(path)?;
+/// The text of a list of cache servers.
+pub fn list_text(path: &Path) -> Result<String, FileError> {
+    let unreadable = |error| FileError::Unreadable(path.to_owned(), error);
+    let mut text = String::new();
+    let file = std::fs::File::open(path).map_err(unreadable)?;
+    file.take(LARGEST_LIST + 1).read_to_string(&mut text).map_err(unreadable)?;
+    if text.len() as u64 > LARGEST_LIST {
+        let problem = format!("expected a list of {LARGEST_LIST} bytes at the most");
+        return Err(unreadable(std::io::Error::new(std::io::ErrorKind::FileTooLarge, problem)));
+    }
+    Ok(text)
+}
+
+/// Reads a list of cache servers, as version `seq`. `path` is what faults call it.
+pub fn read_list(path: &Path, text: &str, seq: u64) -> Result<Listing, FileError> {
     let read = |top: &Table| {
         version(top);
         Listing { seq, whole: true, hosts: servers(top) }
     };
-    Document::read(&path.display().to_string(), &text, read).map_err(FileError::Faults)
-}
-
-fn text(path: &Path) -> Result<String, FileError> {
-    std::fs::read_to_string(path).map_err(|error| FileError::Unreadable(path.to_owned(), error))
+    Document::read(&path.display().to_string(), text, read).map_err(FileError::Faults)
 }
 
 fn version(top: &Table) {
@@ -77,7 +92,12 @@
 fn config(top: &Table, folder: &Path) -> Config {
     version(top);
     let name_of_node = top.text("name", NAME, named).unwrap_or_else(|| "pinhead".into());
-    let base = Settings { cancelling: true, second_copies: true, ..Settings::default() };
+    let base = Settings {
+        cancelling: true,
+        second_copies: true,
+        max_retry_after: Duration::from_secs(2),
+        ..Settings::default()
+    };
     let limits = top.table("limits", |t| limits(t, &base));
     let (descriptors, base) = limits.unwrap_or_else(|| (own_descriptors(), base));
     let base = top.table("servers", |t| behaviour(t, &base)).unwrap_or(base);
@@ -125,7 +145,7 @@
 }
 
 /// The descriptors that this process may hold.
-fn own_descriptors() -> usize {
+pub fn own_descriptors() -> usize {
     getrlimit(Resource::Nofile).current.unwrap_or(MOST_DESCRIPTORS).min(MOST_DESCRIPTORS) as usize
 }
 
@@ -136,7 +156,7 @@
         second_copies: t.flag("second_copies").unwrap_or(base.second_copies),
         max_retry_after: t
             .time("max_retry_after", Duration::ZERO..=*TIME.end())
-            .unwrap_or(Duration::from_secs(2)),
+            .unwrap_or(base.max_retry_after),
         ..base.clone()
     };
     (descriptors.map_or_else(own_descriptors, |n| n as usize), settings)
@@ -248,7 +268,7 @@
         writeln!(text, "\n[[pool]]\nname = \"{}\"", pool.name)?;
         match &pool.source {
             Source::Discovery(address) => writeln!(text, "discovery = \"{address}\"")?,
-            Source::File(path) => writeln!(text, "file = \"{}\"", path.display())?,
+            Source::File(path) => writeln!(text, "file = {:?}", path.display().to_string())?,
             Source::Fixed => {}
         }
         for host in &pool.known.hosts {
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -26,8 +26,10 @@
 
 /// New connections keep coming for 0.4 s after SIGTERM: until the front has noticed, the node serves them.
 const LEAVING: Duration = Duration::from_millis(500);
-/// Descriptors left for the runtime, the listener, discovery and the standard streams.
+/// Descriptors left for the runtime, one listener, one pool's list and the standard streams.
 const SPARE_DESCRIPTORS: usize = 24;
+/// With fewer left than one connection each way for a handful of clients there is no work to be done.
+const LEAST_PLACES: usize = 4;
 
 /// Serves until SIGTERM, as the platform's environment says.
 pub fn start() -> Result<(), Box<dyn Error>> {
@@ -37,7 +39,12 @@
 
 /// Serves until SIGTERM, as an operator's file says.
 pub fn start_from(path: &Path) -> Result<(), Box<dyn Error>> {
-    let config = operator::load(path)?;
+    let mut config = operator::load(path)?;
+    let own = operator::own_descriptors();
+    if config.descriptors > own {
+        eprintln!("the system lets this process hold {own} descriptors, not {}", config.descriptors);
+        config.descriptors = own;
+    }
     block_on(run(config, Kind::Operator))
 }
 
@@ -69,7 +76,14 @@
     let listeners = listen(&name, &listeners, passed).await?;
 
     // A request holds a connection of its client for as long as one to a cache server.
-    let most = (descriptors - SPARE_DESCRIPTORS) / 2;
+    let spare = SPARE_DESCRIPTORS + (listeners.len() - 1) + (pools.len() - 1);
+    let most = descriptors.saturating_sub(spare) / 2;
+    if most < LEAST_PLACES {
+        return Err(format!(
+            "{descriptors} descriptors leave no room to work beside {spare} of the node's own"
+        )
+        .into());
+    }
     let (stages, stage) = watch::channel(Stage::Serving);
     // All pools' together.
     let open = Rc::new(Cell::new(0));
@@ -90,7 +104,8 @@
         match source {
             Source::Discovery(at) => {
                 let seq = (!known.hosts.is_empty()).then_some(known.seq);
-                let random = fastrand::Rng::with_seed(seed);
+                // Pools that lost one discovery together do not come back together either.
+                let random = fastrand::Rng::with_seed(seed.wrapping_add(number as u64));
                 let (sender, address) = watch::channel(at);
                 addresses.push(sender);
                 let watching = Discovery { address, seq, random, events: events.clone() };
--- a/crates/node/src/list_file.rs
+++ b/crates/node/src/list_file.rs
@@ -1,10 +1,11 @@
 //! A pool's list in a file: read at the start, and again whenever it has changed.
 
-use crate::config::operator::{load_servers, FileError};
+use crate::config::operator::{list_text, read_list};
 use crate::input::Input;
 use std::path::PathBuf;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::spawn_blocking;
 use tokio::time::sleep;
 
 /// The file is looked at so often. A watch by the kernel would be sooner, and would have to follow a file that is
@@ -16,10 +17,14 @@
 pub async fn watch(path: PathBuf, events: UnboundedSender<Input>) {
     let (mut seq, mut seen) = (0, None);
     loop {
-        let now = std::fs::read(&path).ok();
-        if seen.as_ref() != Some(&now) {
-            seen = Some(now);
-            match load_servers(&path, seq + 1) {
+        let file = path.clone();
+        // Not on the one thread of all requests: a share that is away, or a pipe, may let the reader wait.
+        let read = spawn_blocking(move || list_text(&file)).await;
+        let Ok(text) = read.map(|read| read.map_err(|error| error.to_string())) else { return };
+        // What was read is what is compared and what is taken: the file may change at any moment.
+        if seen.as_ref() != Some(&text) {
+            let list = text.as_ref().map_err(Clone::clone);
+            match list.and_then(|text| read_list(&path, text, seq + 1).map_err(|error| error.to_string())) {
                 Ok(listing) => {
                     seq += 1;
                     if events.send(Input::Listing(listing)).is_err() {
@@ -28,12 +33,13 @@
                 }
                 Err(error) => log(&error, seq),
             }
+            seen = Some(text);
         }
         sleep(LOOK).await;
     }
 }
 
-fn log(error: &FileError, seq: u64) {
+fn log(error: &str, seq: u64) {
     eprintln!("{error}");
     eprintln!("list not taken; {}", if seq == 0 { "there is none yet" } else { "the one before holds" });
 }
--- a/crates/node/src/manager.rs
+++ b/crates/node/src/manager.rs
@@ -5,16 +5,15 @@
 use listenfd::ListenFd;
 use sd_notify::NotifyState;
 use std::net::TcpListener;
-use std::sync::mpsc::{sync_channel, SyncSender};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{channel, Sender};
+use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 use tokio::time::{interval, timeout, MissedTickBehavior};
 
-/// Words that wait to be told; a manager that takes none loses what comes after.
-const WAITING: usize = 16;
-
 /// A word for the manager.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Word {
@@ -29,13 +28,24 @@
 pub enum PassedError {
     #[error("the service manager passed a socket \"{0}\", and there is no listener of this name")]
     Unknown(String),
+    #[error("the service manager passed two sockets \"{0}\", and a listener has one address")]
+    Twice(String),
     #[error("the socket \"{0}\" that the service manager passed is no listening TCP socket: {1}")]
     Unusable(String, std::io::Error),
 }
 
 /// The way to the manager.
 #[derive(Clone, Debug)]
-pub struct Manager(Option<SyncSender<Word>>);
+pub struct Manager(Option<Words>);
+
+/// Words that wait to be told. None is lost, since a start that nobody hears of never ends; and they are few: some for
+/// each pool at the start, two at the end, and one that the node lives.
+#[derive(Clone, Debug)]
+struct Words {
+    sender: Sender<Word>,
+    /// One that the node lives waits already.
+    alive: Arc<AtomicBool>,
+}
 
 impl Manager {
     /// There is none.
@@ -48,7 +58,9 @@
         if std::env::var_os("NOTIFY_SOCKET").is_none() {
             return Self::none();
         }
-        let (sender, words) = sync_channel(WAITING);
+        let (sender, words) = channel();
+        let alive = Arc::new(AtomicBool::new(false));
+        let told_alive = alive.clone();
         // A thread of its own: a manager that takes nothing must not hold up requests.
         let telling = std::thread::Builder::new().name("manager".into()).spawn(move || {
             let mut failed = false;
@@ -56,7 +68,11 @@
                 let told = match &word {
                     Word::Ready => sd_notify::notify(&[NotifyState::Ready]),
                     Word::Stopping => sd_notify::notify(&[NotifyState::Stopping]),
-                    Word::Alive => sd_notify::notify(&[NotifyState::Watchdog]),
+                    Word::Alive => {
+                        let told = sd_notify::notify(&[NotifyState::Watchdog]);
+                        told_alive.store(false, Ordering::Relaxed);
+                        told
+                    }
                     Word::Status(text) => sd_notify::notify(&[NotifyState::Status(text)]),
                 };
                 // One line for each time that it goes away.
@@ -69,7 +85,7 @@
             }
         });
         match telling {
-            Ok(_) => Self(Some(sender)),
+            Ok(_) => Self(Some(Words { sender, alive })),
             Err(error) => {
                 eprintln!("the service manager is not told: {error}");
                 Self(None)
@@ -78,9 +94,12 @@
     }
 
     fn tell(&self, word: Word) {
-        if let Some(sender) = &self.0 {
-            // What finds no room is lost: the node's work goes before it.
-            let _ = sender.try_send(word);
+        if let Some(words) = &self.0 {
+            if word == Word::Alive && words.alive.swap(true, Ordering::Relaxed) {
+                return;
+            }
+            // The thread ends with the process.
+            let _ = words.sender.send(word);
         }
     }
 
@@ -153,6 +172,9 @@
             if !names.contains(&name) {
                 return Err(PassedError::Unknown(name.to_owned()));
             }
+            if passed.iter().any(|(other, _)| other == name) {
+                return Err(PassedError::Twice(name.to_owned()));
+            }
             let socket = sockets.take_tcp_listener(place);
             let socket = socket.map_err(|error| PassedError::Unusable(name.to_owned(), error))?;
             passed.extend(socket.map(|socket| (name.to_owned(), socket)));
--- a/crates/node/tests/manager.rs
+++ b/crates/node/tests/manager.rs
@@ -119,12 +119,34 @@
     assert!(node.exit().success());
 }
 
-/// A node that is started with this socket as its descriptor 3, called so.
-fn activated(manager: &Manager, text: &str, socket: TcpListener, name: &str) -> (Command, PathBuf) {
+// Guards against a start that never ends for the manager, because the word of it was dropped where many waited.
+#[test]
+fn a_manager_that_takes_nothing_for_a_while_hears_of_the_readiness_afterwards() {
+    let (manager, server, discovery) = (Manager::start(), CacheServer::serving("a"), Discovery::start(&[]));
+    let filler = UnixDatagram::unbound().unwrap();
+    filler.set_nonblocking(true).unwrap();
+    while filler.send_to(b"X=1", manager.folder.0.join("notify")).is_ok() {}
+    let (mut command, path) = manager.command(&following(&discovery));
+    // So often that words that the node lives would fill any queue.
+    command.env("WATCHDOG_USEC", "200");
+    let node = Node::spawn(command, path);
+    discovery.wait_until_told(1);
+    (0..200).for_each(|_| assert_eq!(node.get("/healthz").status(), 503));
+    discovery.tell(true, &[server.entry("box", "ready")]);
+    wait_for("the node's readiness", || node.get("/healthz").status() == 200);
+    let before = manager.until("READY=1");
+    assert!(
+        before.iter().filter(|word| *word == "WATCHDOG=1").count() <= 2,
+        "one waits and one is being told"
+    );
+}
+
+/// A node that is started with this socket as its descriptor 3, and 4 where there are two names, set apart by a colon.
+fn activated(manager: &Manager, text: &str, socket: TcpListener, names: &str) -> (Command, PathBuf) {
     let (inner, path) = manager.command(text);
     let mut command = Command::new("sh");
     // The variables name the process that they are for: only it knows its id.
-    let script = "exec 3<&0 </dev/null; export LISTEN_PID=$$ LISTEN_FDS=1; exec \"$0\" \"$@\"";
+    let script = "exec 3<&0 4<&0 </dev/null; export LISTEN_PID=$$; exec \"$0\" \"$@\"";
     command.arg("-c").arg(script).arg(inner.get_program()).args(inner.get_args());
     for (key, value) in inner.get_envs() {
         match value {
@@ -132,7 +154,8 @@
             None => command.env_remove(key),
         };
     }
-    command.env("LISTEN_FDNAMES", name).stdin(Stdio::from(OwnedFd::from(socket)));
+    let count = names.split(':').count().to_string();
+    command.env("LISTEN_FDNAMES", names).env("LISTEN_FDS", count).stdin(Stdio::from(OwnedFd::from(socket)));
     (command, path)
 }
 
@@ -159,10 +182,15 @@
 fn a_socket_that_no_listener_wants_is_named_and_nothing_is_served() {
     let (manager, server) = (Manager::start(), CacheServer::serving("a"));
     let two = format!("{LISTENER}{}", LISTENER.replace("clients", "others"));
-    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (mut command, _) = activated(&manager, &fixed(&server, &two), socket, "odd");
-    let ended = command.output().unwrap();
-    assert_eq!(ended.status.code(), Some(1));
-    let said = String::from_utf8(ended.stderr).unwrap();
-    assert!(said.contains("passed a socket \"odd\", and there is no listener of this name"), "{said}");
+    for (names, expected) in [
+        ("odd", "passed a socket \"odd\", and there is no listener of this name"),
+        ("clients:clients", "passed two sockets \"clients\", and a listener has one address"),
+    ] {
+        let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (mut command, _) = activated(&manager, &fixed(&server, &two), socket, names);
+        let ended = command.output().unwrap();
+        assert_eq!(ended.status.code(), Some(1));
+        let said = String::from_utf8(ended.stderr).unwrap();
+        assert!(said.contains(expected), "{said}");
+    }
 }
--- a/crates/node/tests/operator.rs
+++ b/crates/node/tests/operator.rs
@@ -17,7 +17,7 @@
 const CLASS: &str =
     "[[class]]\nname = \"read\"\neffect = \"safe\"\naim = \"5s\"\ndeadline = \"20s\"\nworth = 1.0\n";
 
-fn server(name: &str, server: &CacheServer) -> String {
+fn server_table(name: &str, server: &CacheServer) -> String {
     format!("[[pool.server]]\nname = \"{name}\"\naddress = \"{}\"\n", server.address)
 }
 
@@ -56,6 +56,50 @@
     assert_eq!(text(&again.stdout), effective, "{}", text(&again.stderr));
 }
 
+// Guards against a default that holds only where its table stands in the file, and against a path that means another file
+// once what holds is written down elsewhere.
+#[test]
+fn the_shortest_file_has_the_defaults_that_the_example_shows_and_its_paths_stay_what_they_are() {
+    let folder = Folder::new();
+    let pool = "[[pool]]\nname = \"p\"\nfile = \"boxes.toml\"\n";
+    folder.write("short.toml", &format!("version = 1\n{pool}{CLASS}"));
+    let checked = command().current_dir(&folder.0).args(["check", "short.toml"]).output().unwrap();
+    let effective = text(&checked.stdout);
+    let boxes = format!("file = {:?}", folder.0.join("boxes.toml").display().to_string());
+    for line in ["max_retry_after = \"2s\"", "second_copies = true", "address = \"127.0.0.1:7070\"", &boxes] {
+        assert!(effective.lines().any(|other| other == line), "{line}\n{effective}");
+    }
+    let empty = folder.write("tables.toml", &format!("version = 1\n[limits]\n[servers]\n{pool}{CLASS}"));
+    assert_eq!(text(&check(&empty).stdout), effective);
+}
+
+#[test]
+fn a_node_holds_no_more_descriptors_than_the_system_lets_it_and_says_when_these_are_too_few() {
+    let server = CacheServer::serving("a");
+    let folder = Folder::new();
+    let pool = format!("[[pool]]\nname = \"p\"\n{}", server_table("box", &server));
+    let listeners: String = (0..12).map(|number| listener(&format!("l{number}"))).collect();
+    let few = format!("version = 1\n[limits]\ndescriptors = 40\n{listeners}{pool}{CLASS}");
+    let path = folder.write("few.toml", &few);
+    let ended = command().arg("run").arg("--config").arg(&path).output().unwrap();
+    assert_eq!(ended.status.code(), Some(1));
+    let said = text(&ended.stderr);
+    assert!(said.contains("40 descriptors leave no room to work beside 35 of the node's own"), "{said}");
+    let many = format!("version = 1\n[limits]\ndescriptors = 65536\n{}{pool}{CLASS}", listener("l"));
+    let path = folder.write("many.toml", &many);
+    let script = "ulimit -n 256; exec \"$0\" run --config \"$1\"";
+    let mut limited = std::process::Command::new("sh");
+    limited.args(["-c", script, env!("CARGO_BIN_EXE_pinhead")]).arg(&path);
+    limited.stderr(std::process::Stdio::piped());
+    let mut node = limited.spawn().unwrap();
+    let mut first = String::new();
+    std::io::BufRead::read_line(&mut std::io::BufReader::new(node.stderr.take().unwrap()), &mut first)
+        .unwrap();
+    let _ = node.kill();
+    let _ = node.wait();
+    assert_eq!(first.trim_end(), "the system lets this process hold 256 descriptors, not 65536");
+}
+
 // Guards against units that call what the program has no more.
 #[test]
 fn the_units_call_the_program_as_it_is_called() {
@@ -101,7 +145,7 @@
         (format!("{good}[limit]\n"), "bad.toml:11: limit: unknown key; known here: class, limits, listener, "),
         (
             format!("{good}[limits]\ndescriptors = 3"),
-            "bad.toml:12: limits.descriptors: expected a whole number from 32 to 1048576, found 3",
+            "bad.toml:12: limits.descriptors: expected a whole number from 32 to 65536, found 3",
         ),
         (
             format!("{good}[servers]\ncold_share = 1.5"),
@@ -169,8 +213,8 @@
     let folder = Folder::new();
     let pools = format!(
         "[[pool]]\nname = \"p\"\n{}[[pool]]\nname = \"q\"\n{}",
-        server("box", &one),
-        server("box", &other)
+        server_table("box", &one),
+        server_table("box", &other)
     );
     let listeners = format!("{}{}", listener("here"), listener("there"));
     let node =
@@ -229,6 +273,11 @@
     std::fs::remove_file(folder.0.join("boxes.toml")).unwrap();
     wait_for("a word of the file that is gone", || logged("boxes.toml: No such file"));
     assert_eq!(node.read("read", 3).body, b"one");
+    folder.write("boxes.toml", &"#".repeat((8 << 20) + 1));
+    wait_for("a word of the file that is too long", || {
+        logged("expected a list of 8388608 bytes at the most")
+    });
+    assert_eq!(node.read("read", 7).body, b"one");
     let before = one.count();
     folder.write("boxes.toml", &list(&[("one", &one, "draining"), ("other", &other, "ready")]));
     wait_for("the new list", || node.read("read", 4).body == b"other");
@@ -249,7 +298,7 @@
         Does::Answer(answer("200 OK", "", "late"))
     });
     let folder = Folder::new();
-    let pool = format!("[[pool]]\nname = \"p\"\n{}", server("box", &slow));
+    let pool = format!("[[pool]]\nname = \"p\"\n{}", server_table("box", &slow));
     let listeners = format!("{}{}", listener("here"), listener("there"));
     let node = run(&folder, &format!("version = 1\n{listeners}{pool}{CLASS}"));
     let second = || node.log.lock().unwrap().iter().find_map(|line| line.rsplit(' ').next()?.parse().ok());
--- a/crates/rig/tests/faults.rs
+++ b/crates/rig/tests/faults.rs
@@ -116,10 +116,8 @@
     // Two round trips of more than 75 ms are more than a connection may take.
     let far = Trouble::Delay { share: 1.0, extra: Duration::from_millis(19) };
     let late = Watch::play(&small(vec![incident(0, 1_000, far)]));
-    assert!(late
-        .outcomes()
-        .filter(|(at, ..)| *at < 1_000)
-        .all(|(_, status, _)| status == Status::ConnectError));
+    let early: Vec<_> = late.outcomes().filter(|(at, ..)| *at < 1_000).collect();
+    assert!(early.len() > 10 && early.iter().all(|(_, status, _)| *status == Status::ConnectError));
 }
 
 #[test]
@@ -145,6 +143,7 @@
     let in_time =
         |(at, status, _): &(u64, Status, Duration)| *status != Status::Reset || (2_000..5_100).contains(at);
     assert!(broken.outcomes().all(|outcome| in_time(&outcome)));
+    assert!(broken.outcomes().any(|(at, status, _)| at > 5_100 && status == Status::Ok));
     // What ran may not run again where that is unsafe: half of these are not served, and none ran twice.
     script.classes.iter_mut().for_each(|class| class.effect = decide::Effect::Unsafe);
     let unsafe_ones = Watch::play(&script);
