--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
@@ -236,6 +236,20 @@
     }
 }
 
+/// What a command comes to that must end by itself, with little to say. One that serves instead fails.
+pub fn ended(mut command: Command) -> Output {
+    let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
+    let start = Instant::now();
+    while child.try_wait().unwrap().is_none() {
+        if start.elapsed() > PATIENCE {
+            let _ = child.kill();
+            panic!("it did not end by itself: {:?}", child.wait_with_output());
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    child.wait_with_output().unwrap()
+}
+
 /// A running node; it is killed with the test.
 pub struct Node {
     pub address: SocketAddr,
--- a/crates/node/tests/manager.rs
+++ b/crates/node/tests/manager.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{command, read, wait_for, CacheServer, Client, Discovery, Folder, Node, PATIENCE};
+use common::{command, ended, read, wait_for, CacheServer, Client, Discovery, Folder, Node, PATIENCE};
 use std::net::TcpListener;
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixDatagram;
@@ -187,8 +187,8 @@
         ("clients:clients", "passed two sockets \"clients\", and a listener has one address"),
     ] {
         let socket = TcpListener::bind("127.0.0.1:0").unwrap();
-        let (mut command, _) = activated(&manager, &fixed(&server, &two), socket, names);
-        let ended = command.output().unwrap();
+        let (command, _) = activated(&manager, &fixed(&server, &two), socket, names);
+        let ended = ended(command);
         assert_eq!(ended.status.code(), Some(1));
         let said = String::from_utf8(ended.stderr).unwrap();
         assert!(said.contains(expected), "{said}");
--- a/crates/node/tests/operator.rs
+++ b/crates/node/tests/operator.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{answer, command, read, wait_for, CacheServer, Client, Discovery, Does, Folder, Node};
+use common::{answer, command, ended, read, wait_for, CacheServer, Client, Discovery, Does, Folder, Node};
 use std::path::Path;
 use std::process::Output;
 
@@ -81,7 +81,9 @@
     let listeners: String = (0..12).map(|number| listener(&format!("l{number}"))).collect();
     let few = format!("version = 1\n[limits]\ndescriptors = 40\n{listeners}{pool}{CLASS}");
     let path = folder.write("few.toml", &few);
-    let ended = command().arg("run").arg("--config").arg(&path).output().unwrap();
+    let mut few = command();
+    few.arg("run").arg("--config").arg(&path);
+    let ended = ended(few);
     assert_eq!(ended.status.code(), Some(1));
     let said = text(&ended.stderr);
     assert!(said.contains("40 descriptors leave no room to work beside 35 of the node's own"), "{said}");
@@ -196,7 +198,9 @@
     assert_eq!(fields, expected);
     let folder = Folder::new();
     let path = folder.write("bad.toml", &format!("version = 1\n{bad}"));
-    let run = command().arg("run").arg("--config").arg(&path).output().unwrap();
+    let mut run = command();
+    run.arg("run").arg("--config").arg(&path);
+    let run = ended(run);
     assert_eq!(run.status.code(), Some(1));
     assert!(text(&run.stderr).contains("bad.toml:3: odd: unknown key"), "{}", text(&run.stderr));
     let missing = check(&folder.0.join("none.toml"));
