Let settings change under way: each request is judged by those it was taken under

Need: a reload at SIGHUP has to change classes, limits and the number of nodes without a word to the requests that are out; numbers of classes mean others once their order changes.

Change: Event::Reconfigured. A request holds the settings it was taken under, to its end; breakers, limits and what is usual live on where the server does, and go by the name of the class. An attempt of a class that is no more counts for no other. Limits in flight are scaled with the number of nodes.

--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -402,6 +402,10 @@
     Outcome(Outcome),
     /// The client left; nothing more is owed.
     Abandoned(RequestId),
+    /// From here on other settings hold. Requests taken before are judged by theirs to their end, and what is
+    /// known of servers lives on; so does what is known by class, with the class's name. The mode, and whether
+    /// weights tell speed, count for all.
+    Reconfigured(Settings),
     /// A time asked for with [`Action::Wake`] has come.
     Timer,
     /// A probe ended.
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -2,6 +2,7 @@
 
 use crate::api::*;
 use std::collections::{BTreeSet, HashMap, HashSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 const TRIP_RATE: f64 = 0.6;
@@ -61,6 +62,8 @@
 const WARM_SPAN: Duration = Duration::from_secs(5);
 /// The origin is strained while this share of the likely misses fails, and at least twice that of the rest.
 const STRAIN_RATE: f64 = 0.4;
+/// Epoch of what no breaker counts: of a class that is no more.
+const NO_EPOCH: u32 = u32::MAX;
 /// Limit of likely misses in flight: its factor after a failure, its step up for each that is served. Its
 /// least is one for all nodes together.
 const FETCH_DOWN: f64 = 0.7;
@@ -189,6 +192,10 @@
 #[derive(Debug)]
 struct Held {
     request: Request,
+    /// Those that it was taken under: they judge it to its end, whatever holds for later ones.
+    settings: Arc<Settings>,
+    /// Its class among those that hold now, for what is counted by class.
+    slot: usize,
     attempts: Vec<Attempt>,
     luck: f64,
     arrived: Timestamp,
@@ -196,6 +203,10 @@
 }
 
 impl Held {
+    fn class(&self) -> &Class {
+        &self.settings.classes[slot_of(&self.settings, &self.request)]
+    }
+
     fn outstanding(&self) -> usize {
         self.attempts.iter().filter(|a| a.status.is_none()).count()
     }
@@ -235,12 +246,12 @@
 /// Decides for one node. It has no clock and does no I/O: equal events give equal actions.
 #[derive(Debug)]
 pub struct Balancer {
-    settings: Settings,
+    settings: Arc<Settings>,
     seed: u64,
     drawn: u64,
     /// Sorted by id. Draining servers stay until discovery removes them.
     servers: Vec<Server>,
-    /// Looked up by id only, never walked: its order differs from run to run.
+    /// Looked up by id, since its order differs from run to run; walked only where each is changed by itself.
     held: HashMap<RequestId, Held>,
     due: BTreeSet<(Timestamp, RequestId)>,
     armed: Option<Timestamp>,
@@ -271,10 +282,8 @@
 
 impl Balancer {
     /// A balancer that knows no server yet. `seed` should differ between nodes.
-    pub fn new(mut settings: Settings, seed: u64) -> Self {
-        let limit_start = (LIMIT_START / f64::from(settings.nodes.max(1))).max(1.0);
-        // The last class is for requests of none: the most careful one.
-        settings.classes.push(Class::default());
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let (settings, limit_start) = completed(settings);
         let usual = settings.classes.iter().map(|class| class.aim.as_secs_f64()).collect();
         Self {
             settings,
@@ -317,11 +326,14 @@
             Event::Request(request) => {
                 self.drawn += 1;
                 let luck = unit(mix(self.seed ^ self.drawn));
-                let held = Held { request, attempts: Vec::new(), luck, arrived: now, done: false };
+                let (settings, slot) = (self.settings.clone(), slot_of(&self.settings, &request));
+                let attempts = Vec::new();
+                let held = Held { request, settings, slot, attempts, luck, arrived: now, done: false };
                 self.decide(now, held, actions);
             }
             Event::Outcome(outcome) => self.outcome(now, &outcome, actions),
             Event::Abandoned(id) => self.held.get_mut(&id).into_iter().for_each(|held| held.done = true),
+            Event::Reconfigured(settings) => self.reconfigure(now, settings),
             Event::Timer => self.armed = None,
             Event::FirstByte { .. } | Event::Probed { .. } => {}
         }
@@ -343,6 +355,43 @@
         }
     }
 
+    /// What is known of servers lives on, and what is counted by class with the class's name.
+    fn reconfigure(&mut self, now: Timestamp, settings: Settings) {
+        let (settings, limit_start) = completed(settings);
+        let place = |classes: &[Class], name| classes.iter().position(|class| class.name == name);
+        let before = std::mem::replace(&mut self.settings, settings);
+        // For each class that holds now, where it stood.
+        let stood: Vec<_> =
+            self.settings.classes.iter().map(|class| place(&before.classes, class.name.clone())).collect();
+        let usual = |(class, stood): (&Class, &Option<usize>)| {
+            stood.map_or(class.aim.as_secs_f64(), |i| self.usual[i])
+        };
+        self.usual = self.settings.classes.iter().zip(&stood).map(usual).collect();
+        // A node of twice as many has half of the work to do.
+        let part = limit_start / std::mem::replace(&mut self.limit_start, limit_start);
+        for server in &mut self.servers {
+            server.limit = (server.limit * part).max(LIMIT_LEAST);
+            let mut breakers: Vec<_> =
+                std::mem::take(&mut server.by_class).into_iter().map(Some).collect();
+            let breaker = |stood: &Option<usize>| {
+                stood.and_then(|i| breakers[i].take()).unwrap_or_else(|| Breaker::new(CLASS_WINDOW, now))
+            };
+            server.by_class = stood.iter().map(breaker).collect();
+        }
+        for held in self.held.values_mut() {
+            match stood.iter().position(|stood| *stood == Some(held.slot)) {
+                Some(slot) => held.slot = slot,
+                None => {
+                    held.slot = self.settings.classes.len() - 1;
+                    held.attempts.iter_mut().for_each(|attempt| attempt.epochs.1 = NO_EPOCH);
+                }
+            }
+        }
+        if self.settings.must_follow && !before.must_follow {
+            self.follow_at = Some(now);
+        }
+    }
+
     fn learn(&mut self, now: Timestamp, entries: &[ServerEntry], full: bool) {
         if full {
             self.servers.retain(|server| entries.iter().any(|entry| entry.id == server.entry.id));
@@ -394,15 +443,6 @@
         }
     }
 
-    fn class_slot(&self, request: &Request) -> usize {
-        let other = self.settings.classes.len() - 1;
-        request.class.map_or(other, |id| id.0.min(other))
-    }
-
-    fn class(&self, request: &Request) -> &Class {
-        &self.settings.classes[self.class_slot(request)]
-    }
-
     fn is_origin(&self, entry: &ServerEntry) -> bool {
         let CacheMode::Aside { origin_kind } = &self.settings.mode else { return false };
         entry.kind.as_ref() == Some(origin_kind)
@@ -558,17 +598,16 @@
         let work = held.request.expected_work.map_or(0.0, |work| work.as_secs_f64());
         let share = (AIM_SHARE * work / self.usual_work.max(1e-9)).clamp(AIM_SHARE, 1.0);
         self.usual_work += (work - self.usual_work) / 100.0;
-        let in_time = outcome.took <= self.class(&held.request).aim.mul_f64(share);
+        let in_time = outcome.took <= held.class().aim.mul_f64(share);
         let spare = outcome.load.busy.is_some_and(|busy| busy < BUSY);
         // Where nobody waits it is most often the work itself that takes long.
         let reported = outcome.load.waiting.map(|waiting| waiting < 1.0);
         let unqueued = excused || self.settings.nodes <= FEW_NODES && reported == Some(true);
         if outcome.status == Status::Ok {
-            let slot = self.class_slot(&held.request);
-            self.usual[slot] += (outcome.took.as_secs_f64() - self.usual[slot]) / 20.0;
+            self.usual[held.slot] += (outcome.took.as_secs_f64() - self.usual[held.slot]) / 20.0;
         }
-        let class = self.class_slot(&held.request);
-        let par = held.request.expected_work.unwrap_or(self.class(&held.request).aim).as_secs_f64().max(1e-6);
+        let class = held.slot;
+        let par = held.request.expected_work.unwrap_or(held.class().aim).as_secs_f64().max(1e-6);
         if let Some(i) = place {
             let told = matches!(outcome.status, Status::Ok | Status::TimedOut) && !fetched;
             if told && self.warmth(&self.servers[i].entry, now) >= 1.0 {
@@ -644,8 +683,8 @@
                 return self.end(now, held, actions);
             }
             // A burst passes: without room a request waits, while thrice a usual answer would be in time.
-            let aim = self.class(&held.request).aim;
-            let usual = Duration::from_secs_f64(self.usual[self.class_slot(&held.request)]);
+            let aim = held.class().aim;
+            let usual = Duration::from_secs_f64(self.usual[held.slot]);
             let again = now + aim.mul_f64(HOLD_STEP);
             if held.attempts.is_empty()
                 && again + usual * 3 <= (held.arrived + aim).min(held.request.valid_until)
@@ -657,7 +696,7 @@
             return self.end(now, held, actions);
         };
         self.retry_budget = (self.retry_budget + if retry { -1.0 } else { RETRY_SHARE }).min(RETRY_SAVED);
-        let (slot, class) = (self.slot(now), self.class_slot(&held.request));
+        let (slot, class) = (self.slot(now), held.slot);
         let cold = self.likely_miss(&held.request, &self.servers[i]);
         self.fetching += u32::from(cold);
         let server = &mut self.servers[i];
@@ -685,7 +724,7 @@
 
     /// Whether rule 2 lets the request go to this server now.
     fn may_send(&self, now: Timestamp, held: &Held, entry: &ServerEntry) -> bool {
-        let effect = self.class(&held.request).effect;
+        let effect = held.class().effect;
         held.may_have_run().all(|earlier| match effect {
             Effect::Safe => true,
             Effect::Unsafe => false,
@@ -701,10 +740,10 @@
     }
 
     fn pick(&self, now: Timestamp, held: &Held, no_fetch: bool) -> Option<usize> {
-        if held.attempts.len() >= self.settings.max_attempts as usize {
+        if held.attempts.len() >= held.settings.max_attempts as usize {
             return None;
         }
-        let class = self.class_slot(&held.request);
+        let class = held.slot;
         let usable = |i: &usize| {
             if no_fetch && self.likely_miss(&held.request, &self.servers[*i]) {
                 return false;
@@ -763,21 +802,21 @@
 
     /// How long refused clients should stay away: until the origin's breaker lets its first trial through,
     /// or shortly: the front deals a client that comes again to another node, which may have room.
-    fn retry_after(&self, now: Timestamp, request: &Request) -> Duration {
+    fn retry_after(&self, now: Timestamp, held: &Held) -> Duration {
         let origin = self.servers.iter().find(|server| self.is_origin(&server.entry));
         let advice = match origin.map_or(self.origin.state, |server| server.breaker.state) {
             State::Open { until } => until.since(now),
-            _ => self.class(request).aim.mul_f64(AWAY_STEP),
+            _ => held.class().aim.mul_f64(AWAY_STEP),
         };
-        advice.min(self.settings.max_retry_after)
+        advice.min(held.settings.max_retry_after)
     }
 
     fn end(&mut self, now: Timestamp, held: Held, actions: &mut Vec<Action>) {
-        let effect = self.class(&held.request).effect;
+        let effect = held.class().effect;
         let safe_again = matches!(effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. })
             || held.may_have_run().next().is_none();
         if safe_again && now < held.request.valid_until {
-            let retry_after = self.retry_after(now, &held.request);
+            let retry_after = self.retry_after(now, &held);
             let id = held.request.id;
             actions.push(Action::Refuse { id, retry_after });
         } else {
@@ -786,6 +825,18 @@
     }
 }
 
+/// Settings with a last class for requests of none, the most careful one; and where limits start under them.
+fn completed(mut settings: Settings) -> (Arc<Settings>, f64) {
+    settings.classes.push(Class::default());
+    let limit_start = (LIMIT_START / f64::from(settings.nodes.max(1))).max(1.0);
+    (Arc::new(settings), limit_start)
+}
+
+fn slot_of(settings: &Settings, request: &Request) -> usize {
+    let other = settings.classes.len() - 1;
+    request.class.map_or(other, |id| id.0.min(other))
+}
+
 fn key_of(request: &Request) -> u64 {
     request.key.unwrap_or_else(|| hash_text(request.id.as_str()))
 }
--- /dev/null
+++ b/crates/decide/tests/reconfigure.rs
@@ -0,0 +1,182 @@
+//! Settings that change under way: requests are judged by those that they were taken under, and what is known lives on.
+
+mod common;
+
+use common::{ms, settings, Node};
+use decide::*;
+
+/// Settings with these of the usual classes (read, keyed, unsafe), in this order.
+fn with_classes(order: &[usize]) -> Settings {
+    let usual = settings();
+    Settings { classes: order.iter().map(|&i| usual.classes[i].clone()).collect(), ..usual }
+}
+
+fn with_effect(class: usize, effect: Effect) -> Settings {
+    let mut changed = settings();
+    changed.classes[class].effect = effect;
+    changed
+}
+
+fn sends(actions: &[Action]) -> usize {
+    actions.iter().filter(|action| matches!(action, Action::Send { .. })).count()
+}
+
+#[test]
+fn a_request_whose_class_becomes_unsafe_is_still_repeated_and_a_later_one_is_not() {
+    let mut node = Node::with_servers(settings(), 4);
+    let before = node.request(0, 7, ms(400));
+    node.reconfigure(with_effect(0, Effect::Unsafe));
+    let after = node.request(0, 8, ms(400));
+    assert_eq!(sends(&node.answer(&before, Status::Reset)), 1);
+    let actions = node.answer(&after, Status::Reset);
+    assert!(matches!(&actions[..], [Action::Fail { id }] if *id == after), "{actions:?}");
+}
+
+#[test]
+fn a_request_whose_class_was_unsafe_is_not_repeated_because_later_ones_may_be() {
+    let mut node = Node::with_servers(settings(), 4);
+    let before = node.request(2, 7, ms(400));
+    node.reconfigure(with_effect(2, Effect::Safe));
+    let actions = node.answer(&before, Status::TimedOut);
+    assert!(matches!(&actions[..], [Action::Fail { .. }]), "{actions:?}");
+    let after = node.request(2, 8, ms(400));
+    assert_eq!(sends(&node.answer(&after, Status::Reset)), 1);
+}
+
+// Guards against numbers of classes that mean others once the order changes or one is gone.
+#[test]
+fn a_request_of_a_class_that_is_removed_or_moved_goes_by_its_own_to_the_end() {
+    let mut node = Node::with_servers(settings(), 4);
+    let (read, only_once) = (node.request(0, 7, ms(400)), node.request(2, 8, ms(400)));
+    // The first class is gone now, and its number means the unsafe one.
+    node.reconfigure(with_classes(&[2, 1]));
+    assert_eq!(sends(&node.answer(&read, Status::Reset)), 1);
+    let actions = node.answer(&only_once, Status::Reset);
+    assert!(matches!(&actions[..], [Action::Fail { .. }]), "{actions:?}");
+    node.answer(&read, Status::Ok);
+    let later = node.request(0, 9, ms(400));
+    let actions = node.answer(&later, Status::Reset);
+    assert!(matches!(&actions[..], [Action::Fail { .. }]), "{actions:?}");
+}
+
+#[test]
+fn the_number_of_attempts_and_the_advice_are_those_of_the_time_it_was_taken() {
+    let mut node = Node::with_servers(Settings { max_attempts: 2, ..settings() }, 4);
+    let before = node.request(0, 7, ms(400));
+    node.reconfigure(Settings { max_attempts: 1, max_retry_after: ms(0), ..settings() });
+    let after = node.request(0, 8, ms(400));
+    assert_eq!(sends(&node.answer(&before, Status::ConnectError)), 1);
+    let advice = |actions: &[Action]| match actions {
+        [Action::Refuse { retry_after, .. }] => *retry_after,
+        other => panic!("{other:?}"),
+    };
+    assert!(advice(&node.answer(&before, Status::ConnectError)) > ms(0));
+    assert_eq!(advice(&node.answer(&after, Status::ConnectError)), ms(0));
+}
+
+/// Trips the breaker of the server that keys go to, and gives it back.
+fn trip(node: &mut Node, key: u64) -> ServerId {
+    let first = node.call(key, Status::Reset).expect("sent");
+    for _ in 0..8 {
+        node.call(key, Status::Reset);
+    }
+    assert_ne!(node.call(key, Status::Ok), Some(first.clone()), "its breaker is open");
+    first
+}
+
+#[test]
+fn an_open_breaker_stays_open_for_its_time_and_no_longer() {
+    let mut node = Node::with_servers(settings(), 4);
+    let server = trip(&mut node, 7);
+    for order in [&[1, 0, 2][..], &[0, 1, 2], &[0]] {
+        node.reconfigure(with_classes(order));
+    }
+    assert_ne!(node.call(7, Status::Ok), Some(server.clone()));
+    node.pass(ms(6_000));
+    assert_eq!(node.call(7, Status::Ok), Some(server));
+}
+
+// Guards against a breaker of a class that goes on counting for another one.
+#[test]
+fn what_a_server_turned_away_counts_for_the_class_of_that_name_wherever_it_stands() {
+    let mut node = Node::with_servers(settings(), 2);
+    node.load = LoadReport { waiting: Some(0.0), ..LoadReport::default() };
+    let home = node.call(7, Status::Ok).expect("sent");
+    let declined = |node: &mut Node, class: usize| {
+        let id = node.request(class, 7, ms(400));
+        let (_, server) = node.out(&id).expect("sent");
+        let status = if server == home { Status::QueueFull } else { Status::Ok };
+        node.answer(&id, status);
+        if node.out(&id).is_some() {
+            node.answer(&id, Status::Ok);
+        }
+        server
+    };
+    for _ in 0..4 {
+        declined(&mut node, 1);
+    }
+    assert_ne!(declined(&mut node, 1), home, "the breaker of the class is open");
+    node.reconfigure(with_classes(&[1, 0]));
+    assert_ne!(declined(&mut node, 0), home, "keyed is the first one now");
+    let read = node.request(1, 7, ms(400));
+    assert_eq!(node.out(&read).expect("sent").1, home);
+    node.answer(&read, Status::Ok);
+    // Gone and come again, it is a class that nothing is known of.
+    node.reconfigure(with_classes(&[0]));
+    node.reconfigure(with_classes(&[1]));
+    let id = node.request(0, 7, ms(400));
+    assert_eq!(node.out(&id).expect("sent").1, home);
+    node.answer(&id, Status::Ok);
+}
+
+#[test]
+fn an_end_of_an_attempt_of_a_removed_class_is_counted_by_no_other_class() {
+    let mut node = Node::with_servers(settings(), 2);
+    node.load = LoadReport { waiting: Some(0.0), ..LoadReport::default() };
+    let home = node.call(7, Status::Ok).expect("sent");
+    let out: Vec<_> = (0..6).map(|_| node.request(1, 7, ms(400))).collect();
+    node.reconfigure(with_classes(&[0]));
+    for id in &out {
+        if node.out(id).is_some_and(|(_, server)| server == home) {
+            node.answer(id, Status::QueueFull);
+        }
+    }
+    let unnamed = Request { key: Some(7), ..Request::new("unnamed", node.now + ms(400)) };
+    let id = node.submit(unnamed);
+    assert_eq!(node.out(&id).expect("sent").1, home, "the breaker for requests of no class is closed");
+}
+
+#[test]
+fn a_list_that_has_to_be_asked_for_from_now_on_is_asked_for_once() {
+    let mut node = Node::with_servers(settings(), 2);
+    let asks = |actions: Vec<Action>| actions.iter().filter(|action| **action == Action::Follow).count();
+    let following = Settings { must_follow: true, ..settings() };
+    assert_eq!(asks(node.feed(Event::Reconfigured(following.clone()))), 1);
+    assert_eq!(asks(node.feed(Event::Reconfigured(following))), 0);
+}
+
+// Guards against equal events that give other actions after a change of settings.
+#[test]
+fn equal_events_give_equal_actions_and_a_change_to_the_same_changes_nothing() {
+    let play = |reconfigured: bool| {
+        let mut node = Node::with_servers(settings(), 5);
+        for step in 0..400_u64 {
+            let id = node.request((step % 3) as usize, step % 17, ms(400));
+            if reconfigured && step % 50 == 25 {
+                node.reconfigure(settings());
+            }
+            if node.out(&id).is_some() {
+                let status = [Status::Ok, Status::Ok, Status::Reset, Status::QueueFull][(step % 4) as usize];
+                node.answer(&id, status);
+            }
+            if node.out(&id).is_some() {
+                node.answer(&id, Status::Ok);
+            }
+            node.pass(ms(7));
+        }
+        node.trace
+    };
+    let plain = play(false);
+    assert_eq!(plain, play(false));
+    assert_eq!(plain, play(true));
+}
