Reload at SIGHUP: classes, limits, pools, lists and listeners change in one step

Need: an operator's node took its file at the start only; any change meant a stop, and a stop means refused connections.

Change: the file is read beside the thread of requests, what may fail (reading, binding) is done first, and then the node goes over at once. Pools go on by name, listeners by address, classes by name; what was taken is finished as it was taken, on listeners and in pools that are gone too. A request whose body is on its way is judged when its last byte has come. An unusable file changes nothing and says why, in the log and to the service manager (RELOADING=1 with the monotonic time, READY=1). The platform's SIGHUP, which moves discovery only, goes the same way. What a change is stands in a module of its own without I/O. A node that waits for its file can be stopped: the runtime no longer waits for its reader.

Result: eleven tests on sockets, three of the comparison; 100 signals a second with half-written files among them and four clients that ask all the time: each request sent on once and answered 200.

--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -371,8 +371,7 @@
         let part = limit_start / std::mem::replace(&mut self.limit_start, limit_start);
         for server in &mut self.servers {
             server.limit = (server.limit * part).max(LIMIT_LEAST);
-            let mut breakers: Vec<_> =
-                std::mem::take(&mut server.by_class).into_iter().map(Some).collect();
+            let mut breakers: Vec<_> = std::mem::take(&mut server.by_class).into_iter().map(Some).collect();
             let breaker = |stood: &Option<usize>| {
                 stood.and_then(|i| breakers[i].take()).unwrap_or_else(|| Breaker::new(CLASS_WINDOW, now))
             };
--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -11,8 +11,8 @@
 /// Fewer descriptors than this don't hold the runtime's own and one connection each way.
 pub const LEAST_DESCRIPTORS: usize = 32;
 
-/// What a node is told at its start.
-#[derive(Debug)]
+/// What a node is told at its start, or at a reload.
+#[derive(Clone, Debug)]
 pub struct Config {
     /// It goes by this in the log.
     pub name: String,
@@ -33,7 +33,7 @@
 }
 
 /// Cache servers that serve some classes of requests, and what is decided for these.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Pool {
     pub name: String,
     pub source: Source,
--- a/crates/node/src/config/operator.rs
+++ b/crates/node/src/config/operator.rs
@@ -44,7 +44,12 @@
     // What is named beside the file stays there, wherever what holds is written down.
     let whole = std::path::absolute(path).map_err(unreadable)?;
     let folder = whole.parent().unwrap_or(Path::new(""));
-    Document::read(&path.display().to_string(), &text, |top| config(top, folder)).map_err(FileError::Faults)
+    read(&path.display().to_string(), &text, folder)
+}
+
+/// Reads a text. Faults call it `called`, and the paths in it start from `folder`.
+pub fn read(called: &str, text: &str, folder: &Path) -> Result<Config, FileError> {
+    Document::read(called, text, |top| config(top, folder)).map_err(FileError::Faults)
 }
 
 /// The text of a list of cache servers.
--- /dev/null
+++ b/crates/node/src/daemon/pools.rs
@@ -0,0 +1,170 @@
+//! The pools at work: for each a driver with decisions of its own, its connections, and whoever brings its list.
+
+use super::change::Change;
+use crate::config::{Config, Pool, Source};
+use crate::discovery::Discovery;
+use crate::driver::Driver;
+use crate::fronts::http1::{Class, Routes};
+use crate::input::Input;
+use crate::list_file;
+use crate::listing::Listing;
+use crate::readiness;
+use crate::upstream::{Places, Upstream};
+use decide::Balancer;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::sync::mpsc::{self, UnboundedSender};
+use tokio::sync::{watch, Notify};
+use tokio::task::{spawn_local, AbortHandle};
+
+/// All of them, in the configuration's order.
+pub struct Pools {
+    running: Vec<Running>,
+    places: Rc<Places>,
+    seed: u64,
+    /// How many there have been, so that each draws numbers of its own.
+    begun: u64,
+}
+
+struct Running {
+    pool: Pool,
+    /// To its driver.
+    events: UnboundedSender<Input>,
+    ready: watch::Receiver<bool>,
+    /// The module's word that the list has to be asked for.
+    follow: Rc<Notify>,
+    list: List,
+}
+
+/// Who brings the list.
+enum List {
+    Discovery(watch::Sender<SocketAddr>, AbortHandle),
+    File(AbortHandle),
+    Fixed,
+}
+
+impl Drop for List {
+    fn drop(&mut self) {
+        match self {
+            Self::Discovery(_, task) | Self::File(task) => task.abort(),
+            Self::Fixed => {}
+        }
+    }
+}
+
+impl Pools {
+    /// Begins them.
+    pub fn start(pools: Vec<Pool>, places: Rc<Places>, seed: u64) -> Self {
+        let mut all = Self { running: Vec::new(), places, seed, begun: 0 };
+        all.running = pools.into_iter().map(|pool| all.begin(pool)).collect();
+        all
+    }
+
+    /// Takes on what a new configuration says. A pool that it lacks takes nothing more and ends with its last request.
+    pub fn change(&mut self, change: &Change, config: &Config) {
+        let mut before: Vec<_> = std::mem::take(&mut self.running).into_iter().map(Some).collect();
+        for (place, pool) in change.pools.iter().zip(&config.pools) {
+            let running = match place.and_then(|place| before[place].take()) {
+                Some(running) => self.go_on(running, pool.clone()),
+                None => self.begin(pool.clone()),
+            };
+            self.running.push(running);
+        }
+        for removed in before.into_iter().flatten() {
+            // Its driver only goes once it is retired.
+            let _ = removed.events.send(Input::Retired);
+        }
+    }
+
+    /// The way to each driver.
+    pub fn drivers(&self) -> Vec<UnboundedSender<Input>> {
+        self.running.iter().map(|running| running.events.clone()).collect()
+    }
+
+    /// For each, whether it has known a server that takes work.
+    pub fn ready(&self) -> Vec<readiness::Pool> {
+        self.running.iter().map(|running| (running.pool.name.clone(), running.ready.clone())).collect()
+    }
+
+    /// Which class goes to which of them.
+    pub fn routes(&self) -> Routes {
+        let classes =
+            |running: &Running| Class::all(&running.pool.settings, &running.events).collect::<Vec<_>>();
+        let tenants = |running: &Running| {
+            running.pool.settings.tenants.iter().map(|tenant| tenant.name.clone()).collect::<Vec<_>>()
+        };
+        Routes {
+            classes: self.running.iter().flat_map(classes).collect(),
+            tenants: self.running.iter().flat_map(tenants).collect(),
+        }
+    }
+
+    fn begin(&mut self, pool: Pool) -> Running {
+        let seed = self.seed.wrapping_add(self.begun);
+        self.begun += 1;
+        // Unbounded, and bounded all the same by the connections: each has one request, or one attempt, in it.
+        let (events, inputs) = mpsc::unbounded_channel();
+        let follow = Rc::new(Notify::new());
+        let (has_servers, ready) = watch::channel(false);
+        let Pool { settings, known, .. } = &pool;
+        let (connecting, idle) = (settings.connect_timeout, settings.keepalive);
+        let upstream = Rc::new(Upstream::new(self.places.clone(), connecting, idle));
+        spawn_local(Upstream::sweep(Rc::downgrade(&upstream)));
+        let seq = (!known.hosts.is_empty()).then_some(known.seq);
+        let list = List::begin(&pool.source, seq, seed, &events, &follow);
+        let balancer = Balancer::new(settings.clone(), seed);
+        let driver = Driver::new(balancer, upstream, follow.clone(), has_servers, events.clone());
+        spawn_local(driver.run(known.clone(), inputs));
+        Running { pool, events, ready, follow, list }
+    }
+
+    /// The same pool under another description.
+    fn go_on(&self, mut running: Running, pool: Pool) -> Running {
+        let before = std::mem::replace(&mut running.pool, pool);
+        let Pool { source, known, settings, .. } = &running.pool;
+        if *settings != before.settings {
+            // The driver only goes once it is retired.
+            let _ = running.events.send(Input::Reconfigured(Box::new(settings.clone())));
+        }
+        match (source, &running.list) {
+            (Source::Discovery(at), List::Discovery(held, _)) => {
+                // One that stays is not asked again: its watch is as good as it was.
+                held.send_if_modified(|held| std::mem::replace(held, *at) != *at);
+            }
+            _ if *source == before.source => {}
+            _ => {
+                let seed = self.seed.wrapping_add(self.begun);
+                running.list = List::begin(source, None, seed, &running.events, &running.follow);
+            }
+        }
+        if *source == Source::Fixed && (before.source != Source::Fixed || known.hosts != before.known.hosts) {
+            let _ = running.events.send(Input::Listing(Listing { whole: true, ..known.clone() }));
+        }
+        running
+    }
+}
+
+impl List {
+    /// `seq` is the version that the driver holds of a discovery's list.
+    fn begin(
+        source: &Source,
+        seq: Option<u64>,
+        seed: u64,
+        events: &UnboundedSender<Input>,
+        follow: &Rc<Notify>,
+    ) -> Self {
+        match source {
+            Source::Discovery(at) => {
+                // Pools that lost one discovery together do not come back together either.
+                let random = fastrand::Rng::with_seed(seed);
+                let (sender, address) = watch::channel(*at);
+                let watching = Discovery { address, seq, random, events: events.clone() };
+                Self::Discovery(sender, spawn_local(watching.run(follow.clone())).abort_handle())
+            }
+            Source::File(path) => {
+                Self::File(spawn_local(list_file::watch(path.clone(), events.clone())).abort_handle())
+            }
+            Source::Fixed => Self::Fixed,
+        }
+    }
+}
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -74,6 +74,7 @@
     open: HashMap<RequestId, Open>,
     timers: BTreeSet<(Instant, Timer)>,
     due: VecDeque<Event>,
+    retired: bool,
 }
 
 impl Driver {
@@ -95,15 +96,16 @@
             open: HashMap::new(),
             timers: BTreeSet::new(),
             due: VecDeque::new(),
+            retired: false,
         }
     }
 
-    /// Runs for as long as the node does.
+    /// Runs for as long as the node does, or until it is retired and all that was taken is finished.
     pub async fn run(mut self, known: Listing, mut inputs: UnboundedReceiver<Input>) {
         let entries = self.learn(&Listing { whole: true, ..known });
         self.due.push_back(Event::Restored(entries));
         self.handle_due();
-        loop {
+        while !(self.retired && self.open.is_empty()) {
             let next = self.timers.first().map(|(at, _)| *at);
             let timer = async {
                 match next {
@@ -140,6 +142,11 @@
                     if listing.whole { ServerList::Full(entries) } else { ServerList::Changes(entries) };
                 self.due.push_back(Event::Servers(list));
             }
+            Input::Reconfigured(settings) => {
+                self.upstream.configure(settings.connect_timeout, settings.keepalive);
+                self.due.push_back(Event::Reconfigured(*settings));
+            }
+            Input::Retired => self.retired = true,
             // Whoever asked may have given up.
             Input::Alive(answer) => drop(answer.send(())),
             Input::ListingFailed => self.due.push_back(Event::Servers(ServerList::Unavailable)),
--- a/crates/node/src/fronts/http1.rs
+++ b/crates/node/src/fronts/http1.rs
@@ -2,6 +2,7 @@
 
 use crate::fronts::table::{Place, Table};
 use crate::input::{Answer, Input, Taken};
+use crate::readiness::Readiness;
 use crate::stage::Stage;
 use crate::upstream::{Message, OpenIds, IDEMPOTENCY_KEY, LARGEST_BODY, REQ_DEADLINE, REQ_ID};
 use bytes::Bytes;
@@ -12,7 +13,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::hash::{DefaultHasher, Hasher};
@@ -24,7 +25,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{oneshot, watch, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{oneshot, watch, OwnedSemaphorePermit, Semaphore, SemaphorePermit};
 use tokio::time::{sleep, Instant};
 
 const REQ_KIND: HeaderName = HeaderName::from_static("req-kind");
@@ -66,57 +67,70 @@
     }
 }
 
-/// What all connections of clients share.
-pub struct Front {
+/// Where requests go, as the configuration says. At a reload another takes its place as a whole.
+pub struct Routes {
     pub classes: Vec<Class>,
     pub tenants: Vec<Name>,
-    /// For each pool, whether it has known a server that takes work.
-    pub ready: Vec<watch::Receiver<bool>>,
-    pub stage: watch::Receiver<Stage>,
-    pub tickets: Cell<u64>,
+}
+
+/// What all connections of clients share.
+pub struct Front {
+    routes: RefCell<Rc<Routes>>,
+    ready: Rc<Readiness>,
+    tickets: Cell<u64>,
     pub table: Rc<Table>,
     /// Connections that it holds at the most, and a place for each.
-    most: usize,
+    most: Cell<usize>,
     places: Arc<Semaphore>,
     /// Ids of the requests that are open, or have an attempt out.
     open: OpenIds,
 }
 
 impl Front {
-    pub fn new(
-        classes: Vec<Class>,
-        tenants: Vec<Name>,
-        table: Table,
-        ready: Vec<watch::Receiver<bool>>,
-        stage: watch::Receiver<Stage>,
-        most: usize,
-    ) -> Self {
+    /// One for a process that may hold so many descriptors, with `most` connections of clients among them.
+    pub fn new(routes: Routes, ready: Rc<Readiness>, descriptors: usize, most: usize) -> Self {
         Self {
-            classes,
-            tenants,
+            routes: RefCell::new(Rc::new(routes)),
             ready,
-            stage,
             tickets: Cell::new(0),
-            table: Rc::new(table),
-            most,
+            table: Rc::new(Table::new(descriptors, most)),
+            most: Cell::new(most),
             places: Arc::new(Semaphore::new(most)),
             open: OpenIds::default(),
         }
     }
 
-    /// Waits until every connection has ended.
-    pub async fn drained(&self) {
-        // The semaphore is never closed.
-        let _ = self.places.acquire_many(self.most as u32).await;
+    /// Other routes hold for what is taken from here on.
+    pub fn route(&self, routes: Routes) {
+        *self.routes.borrow_mut() = Rc::new(routes);
+    }
+
+    /// The process may hold so many descriptors from here on. What is over that ends with its connection.
+    pub fn resize(&self, descriptors: usize, most: usize) {
+        self.table.resize(descriptors, most);
+        let before = self.most.replace(most);
+        self.places.add_permits(most.saturating_sub(before));
+        let (over, places) = (before.saturating_sub(most), self.places.clone());
+        tokio::task::spawn_local(async move {
+            // One by one, in turn with those who wait to be accepted: all at once, these would wait for the last.
+            for _ in 0..over {
+                // The semaphore is never closed.
+                places.acquire().await.into_iter().for_each(SemaphorePermit::forget);
+            }
+        });
+    }
+
+    fn routes(&self) -> Rc<Routes> {
+        self.routes.borrow().clone()
     }
 }
 
-/// Accepts and serves until the node closes. All listeners together hold the front's places; further connections wait
+/// Accepts and serves until `stage` is that of closing. All listeners together hold the front's places; further connections wait
 /// unaccepted.
-pub async fn serve(listener: TcpListener, front: Rc<Front>) {
+pub async fn serve(listener: TcpListener, stage: watch::Receiver<Stage>, front: Rc<Front>) {
     let slots = front.places.clone();
-    let mut stage = front.stage.clone();
-    let mut closing = pin!(stage.wait_for(|stage| *stage == Stage::Closing));
+    let mut watched = stage.clone();
+    let mut closing = pin!(watched.wait_for(|stage| *stage == Stage::Closing));
     loop {
         let accepted = tokio::select! {
             // What the machine has accepted by then is taken: it comes before the end.
@@ -125,7 +139,7 @@
             _ = &mut closing => break,
         };
         match accepted {
-            Ok((stream, slot)) => spawn_connection(stream, slot, &front),
+            Ok((stream, slot)) => spawn_connection(stream, slot, &stage, &front),
             Err(error) => {
                 eprintln!("accept: {error}");
                 sleep(ACCEPT_PAUSE).await;
@@ -137,7 +151,7 @@
     for _ in 0..ACCEPT_QUEUE {
         let Ok(slot) = slots.clone().acquire_owned().await else { break };
         match poll_fn(|cx| Poll::Ready(listener.poll_accept(cx))).await {
-            Poll::Ready(Ok((stream, _))) => spawn_connection(stream, slot, &front),
+            Poll::Ready(Ok((stream, _))) => spawn_connection(stream, slot, &stage, &front),
             Poll::Ready(Err(_)) => {}
             Poll::Pending => break,
         }
@@ -145,12 +159,17 @@
     drop(listener);
 }
 
-fn spawn_connection(stream: TcpStream, slot: OwnedSemaphorePermit, front: &Rc<Front>) {
-    let front = front.clone();
+fn spawn_connection(
+    stream: TcpStream,
+    slot: OwnedSemaphorePermit,
+    stage: &watch::Receiver<Stage>,
+    front: &Rc<Front>,
+) {
+    let (stage, front) = (stage.clone(), front.clone());
     // In the table at once: room that is made before it is first polled must see it.
     let place = Place::new(front.table.clone());
     tokio::task::spawn_local(async move {
-        connection(stream, place, front).await;
+        connection(stream, place, stage, front).await;
         drop(slot);
     });
 }
@@ -170,15 +189,15 @@
     Ok((stream, slot))
 }
 
-async fn connection(stream: TcpStream, place: Place, front: Rc<Front>) {
+async fn connection(stream: TcpStream, place: Place, stage: watch::Receiver<Stage>, front: Rc<Front>) {
     // It fails only where the client has gone already, as the first read then tells.
     let _ = stream.set_nodelay(true);
-    let (place, front) = (&place, &*front);
+    let (place, front, stage) = (&place, &*front, &stage);
     let service = service_fn(|request: Request<Incoming>| {
         // Not in the future: hyper reads on before it polls that for the first time.
         place.asked(request.body().size_hint().lower() as usize);
         async move {
-            let response = respond(front, place, request).await;
+            let response = respond(front, place, stage, request).await;
             place.answered();
             Ok::<_, Infallible>(response)
         }
@@ -186,7 +205,7 @@
     let mut http = http1::Builder::new();
     http.max_buf_size(LARGEST_HEAD);
     let serving = http.serve_connection(place.watch(stream), service);
-    place.drive(serving, |serving| serving.graceful_shutdown(), front.stage.clone()).await;
+    place.drive(serving, |serving| serving.graceful_shutdown(), stage.clone()).await;
 }
 
 /// Tells the driver of a client that left: hyper drops the answer's future with its connection.
@@ -199,20 +218,25 @@
 impl Drop for Waiting {
     fn drop(&mut self) {
         if !self.answered {
-            // The driver only goes when the node does.
+            // The driver may have gone with all that it had.
             let _ = self.events.send(Input::Left(self.ticket));
         }
     }
 }
 
-async fn respond(front: &Front, place: &Place, request: Request<Incoming>) -> Reply {
-    let (mut response, usable) = match answer(front, place, request).await {
+async fn respond(
+    front: &Front,
+    place: &Place,
+    stage: &watch::Receiver<Stage>,
+    request: Request<Incoming>,
+) -> Reply {
+    let (mut response, usable) = match answer(front, place, stage, request).await {
         Ok(response) => (response, true),
         Err(rejected) => (rejected, false),
     };
     // A client that sends what can't be used comes again at once: not on this connection, where it would cost
     // the others the least of waits between two.
-    if !usable || *front.stage.borrow() >= Stage::Leaving || !place.keeps() {
+    if !usable || *stage.borrow() >= Stage::Leaving || !place.keeps() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -220,17 +244,19 @@
 
 type Reply = Response<Full<Bytes>>;
 
-async fn answer(front: &Front, place: &Place, request: Request<Incoming>) -> Result<Reply, Reply> {
+async fn answer(
+    front: &Front,
+    place: &Place,
+    stage: &watch::Receiver<Stage>,
+    request: Request<Incoming>,
+) -> Result<Reply, Reply> {
     let at = Instant::now();
     let (head, body) = request.into_parts();
     let target =
         head.uri.path_and_query().cloned().ok_or_else(|| plain(StatusCode::BAD_REQUEST, "no path"))?;
     if target.path() == "/healthz" {
         return match head.method {
-            Method::GET
-                if front.ready.iter().all(|pool| *pool.borrow())
-                    && *front.stage.borrow() == Stage::Serving =>
-            {
+            Method::GET if front.ready.reached() && *stage.borrow() == Stage::Serving => {
                 Ok(plain(StatusCode::OK, "ready"))
             }
             Method::GET => Ok(plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")),
@@ -248,7 +274,9 @@
     if head.headers.contains_key(TRANSFER_ENCODING) {
         return Err(plain(StatusCode::LENGTH_REQUIRED, "a body needs a Content-Length"));
     }
-    let asked = read_head(front, &head.headers).map_err(|what| plain(StatusCode::BAD_REQUEST, what))?;
+    let unusable = |what| plain(StatusCode::BAD_REQUEST, what);
+    let routes = front.routes();
+    let mut asked = read_head(&routes, &head.headers).map_err(unusable)?;
     let too_large = || plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is larger than 64 KiB");
     if body.size_hint().lower() > LARGEST_BODY as u64 {
         return Err(too_large());
@@ -258,6 +286,10 @@
         Err(error) if error.is::<LengthLimitError>() => return Err(too_large()),
         Err(_) => return Err(plain(StatusCode::BAD_REQUEST, "the body broke off")),
     };
+    // It is taken now, and not when its head came: what holds may have changed meanwhile.
+    if !Rc::ptr_eq(&routes, &front.routes()) {
+        asked = read_head(&front.routes(), &head.headers).map_err(unusable)?;
+    }
     // Sent on, it would be a second copy of another client's request.
     let id =
         front.open.enter(asked.id).ok_or_else(|| plain(StatusCode::CONFLICT, "Req-Id is open already"))?;
@@ -282,16 +314,16 @@
     client_retry: bool,
 }
 
-fn read_head(front: &Front, headers: &HeaderMap) -> Result<Asked, &'static str> {
+fn read_head(routes: &Routes, headers: &HeaderMap) -> Result<Asked, &'static str> {
     let id = single(headers, &REQ_ID)?.filter(|id| !id.is_empty()).ok_or("no Req-Id")?;
     let class = text(headers, &REQ_KIND)?.ok_or("no Req-Kind")?;
-    let class = front.classes.iter().find(|known| known.name.as_str() == class).ok_or("unknown Req-Kind")?;
+    let class = routes.classes.iter().find(|known| known.name.as_str() == class).ok_or("unknown Req-Kind")?;
     let tenant = match text(headers, &REQ_OWNER)? {
         // Where there are no tenants, whatever stands there means nothing.
-        _ if front.tenants.is_empty() => None,
+        _ if routes.tenants.is_empty() => None,
         None => return Err("no Req-Owner"),
         Some(owner) => {
-            let place = front.tenants.iter().position(|name| name.as_str() == owner);
+            let place = routes.tenants.iter().position(|name| name.as_str() == owner);
             Some(TenantId(place.ok_or("unknown Req-Owner")?))
         }
     };
@@ -358,7 +390,7 @@
         message,
         answer: sender,
     };
-    // The driver only goes when the node does; its silence is a failure all the same.
+    // The driver only goes when nothing leads to it any more; its silence is a failure all the same.
     let _ = terms.events.send(Input::Taken(Box::new(taken)));
     let mut waiting = Waiting { ticket, events: terms.events, answered: false };
     let answer = receiver.await.unwrap_or(Answer::Failed);
--- a/crates/node/src/fronts/table.rs
+++ b/crates/node/src/fronts/table.rs
@@ -171,7 +171,9 @@
     states: RefCell<BTreeMap<u64, Rc<State>>>,
     tally: Rc<Tally>,
     /// Connections that the clients can hold together.
-    places: usize,
+    places: Cell<usize>,
+    /// The last one has ended.
+    emptied: Notify,
 }
 
 impl Table {
@@ -181,7 +183,20 @@
             next: Cell::default(),
             states: RefCell::default(),
             tally: Rc::default(),
-            places: most.min(descriptors / CLIENTS_PART),
+            places: Cell::new(most.min(descriptors / CLIENTS_PART)),
+            emptied: Notify::new(),
+        }
+    }
+
+    /// From here on the process may hold so many.
+    pub fn resize(&self, descriptors: usize, most: usize) {
+        self.places.set(most.min(descriptors / CLIENTS_PART));
+    }
+
+    /// Waits until there is none.
+    pub async fn drained(&self) {
+        while !self.states.borrow().is_empty() {
+            self.emptied.notified().await;
         }
     }
 
@@ -198,7 +213,7 @@
     /// which a pool of a usual client (as many connections as it ever has requests under way) does not reach
     /// until half of all places are in use.
     fn worth_keeping(&self, in_use: usize) -> usize {
-        self.places.saturating_sub(in_use) / 2
+        self.places.get().saturating_sub(in_use) / 2
     }
 
     /// Ends the longest idle connection if nobody has used it for long enough; whether it did.
@@ -342,6 +357,9 @@
     fn drop(&mut self) {
         self.state.leave();
         self.table.states.borrow_mut().remove(&self.state.number);
+        if self.table.states.borrow().is_empty() {
+            self.table.emptied.notify_one();
+        }
     }
 }
 
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -3,7 +3,7 @@
 use crate::listing::Listing;
 use crate::upstream::{Ended, Message};
 use bytes::Bytes;
-use decide::{ClassId, RequestId, TenantId};
+use decide::{ClassId, RequestId, Settings, TenantId};
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -50,6 +50,10 @@
     },
     Listing(Listing),
     ListingFailed,
+    /// Other settings hold for what is taken from here on.
+    Reconfigured(Box<Settings>),
+    /// Nothing more is taken: the driver ends once all that it has is finished.
+    Retired,
     /// Whether the driver still does its work: it answers.
     Alive(oneshot::Sender<()>),
 }
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 /// Discovery's answer: the whole list, or what changed.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize)]
 pub struct Listing {
     pub seq: u64,
     pub whole: bool,
@@ -14,7 +14,7 @@
 }
 
 /// One cache server in it.
-#[derive(Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 pub struct Host {
     pub host: String,
     /// Where it listens; one that is gone may have no address.
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -9,6 +9,7 @@
 mod list_file;
 mod listing;
 mod manager;
+mod readiness;
 mod rehearse;
 mod stage;
 mod upstream;
--- a/crates/node/src/manager.rs
+++ b/crates/node/src/manager.rs
@@ -11,13 +11,14 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::time::{interval, timeout, MissedTickBehavior};
 
 /// A word for the manager.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Word {
     Ready,
+    Reloading,
     Stopping,
     Alive,
     Status(String),
@@ -67,6 +68,8 @@
             for word in words {
                 let told = match &word {
                     Word::Ready => sd_notify::notify(&[NotifyState::Ready]),
+                    Word::Reloading => NotifyState::monotonic_usec_now()
+                        .and_then(|now| sd_notify::notify(&[NotifyState::Reloading, now])),
                     Word::Stopping => sd_notify::notify(&[NotifyState::Stopping]),
                     Word::Alive => {
                         let told = sd_notify::notify(&[NotifyState::Watchdog]);
@@ -109,6 +112,19 @@
         self.tell(Word::Ready);
     }
 
+    /// It takes its configuration anew; [`Manager::ready`] or [`Manager::kept`] tells that this is over.
+    pub fn reloading(&self) {
+        self.tell(Word::Status("reloading".into()));
+        self.tell(Word::Reloading);
+    }
+
+    /// It serves on as before, since a new configuration is of no use.
+    pub fn kept(&self, why: &str) {
+        let first = why.lines().next().unwrap_or_default();
+        self.tell(Word::Status(format!("serving as before: {first}")));
+        self.tell(Word::Ready);
+    }
+
     /// It was told to stop.
     pub fn stopping(&self) {
         self.tell(Word::Stopping);
@@ -121,29 +137,30 @@
     }
 
     /// Tells that the node lives, for as long as all drivers answer, if the manager wants to hear it.
-    pub async fn keep_watchdog(self, drivers: Vec<UnboundedSender<Input>>) {
+    pub async fn keep_watchdog(self, drivers: watch::Receiver<Vec<UnboundedSender<Input>>>) {
         let Some(limit) = sd_notify::watchdog_enabled() else { return };
-        watch(limit, &drivers, || self.tell(Word::Alive)).await;
+        watch(limit, || drivers.borrow().clone(), || self.tell(Word::Alive)).await;
     }
 }
 
 /// Calls `alive` twice within each `limit`, as long as the loops that do the work answer.
-async fn watch(limit: Duration, drivers: &[UnboundedSender<Input>], alive: impl Fn()) {
+async fn watch(limit: Duration, drivers: impl Fn() -> Vec<UnboundedSender<Input>>, alive: impl Fn()) {
     let mut turns = interval(limit / 2);
     turns.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         turns.tick().await;
-        if timeout(limit, answered(drivers)).await == Ok(true) {
+        if timeout(limit, answered(drivers())).await == Ok(true) {
             alive();
         }
     }
 }
 
 /// Whether every driver takes a question out of its queue and answers it.
-async fn answered(drivers: &[UnboundedSender<Input>]) -> bool {
+async fn answered(drivers: Vec<UnboundedSender<Input>>) -> bool {
     for driver in drivers {
         let (answer, asked) = oneshot::channel();
-        if driver.send(Input::Alive(answer)).is_err() || asked.await.is_err() {
+        // One that was retired ends when its work is done, also with a question before it.
+        if driver.send(Input::Alive(answer)).is_ok() && asked.await.is_err() && !driver.is_closed() {
             return false;
         }
     }
@@ -219,7 +236,7 @@
             assert_eq!(fed.get(), 4);
         };
         tokio::select! {
-            () = watch(limit, &drivers, || fed.set(fed.get() + 1)) => {}
+            () = watch(limit, || drivers.to_vec(), || fed.set(fed.get() + 1)) => {}
             // Without an answer to a question it would wait for good.
             done = timeout(limit * 50, work) => done.expect("a question to every driver"),
         }
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -18,7 +18,7 @@
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -182,12 +182,25 @@
     }
 }
 
+/// How many connections to cache servers there may be, and how many there are, of all pools together.
+#[derive(Debug)]
+pub struct Places {
+    pub most: Cell<usize>,
+    open: Cell<usize>,
+}
+
+impl Places {
+    pub fn new(most: usize) -> Self {
+        Self { most: Cell::new(most), open: Cell::default() }
+    }
+}
+
 /// A place among the descriptors that connections to cache servers may hold.
-struct Slot(Rc<Cell<usize>>);
+struct Slot(Rc<Places>);
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.0.open.set(self.0.open.get() - 1);
     }
 }
 
@@ -217,16 +230,23 @@
 /// All cache servers, by id.
 pub struct Upstream {
     peers: RefCell<HashMap<ServerId, Rc<Peer>>>,
-    open: Rc<Cell<usize>>,
-    most: usize,
-    connect_timeout: Duration,
-    idle_limit: Duration,
+    places: Rc<Places>,
+    connect_timeout: Cell<Duration>,
+    idle_limit: Cell<Duration>,
 }
 
 impl Upstream {
-    /// Keeps at most `most` connections together with all that share `open`, their count.
-    pub fn new(most: usize, open: Rc<Cell<usize>>, connect_timeout: Duration, keepalive: Duration) -> Self {
-        Self { peers: RefCell::default(), open, most, connect_timeout, idle_limit: keepalive / IDLE_SHARE }
+    /// Keeps no more connections than there are places, together with all that share these.
+    pub fn new(places: Rc<Places>, connect_timeout: Duration, keepalive: Duration) -> Self {
+        let times = [connect_timeout, keepalive / IDLE_SHARE].map(Cell::new);
+        let [connect_timeout, idle_limit] = times;
+        Self { peers: RefCell::default(), places, connect_timeout, idle_limit }
+    }
+
+    /// Other times hold from here on.
+    pub fn configure(&self, connect_timeout: Duration, keepalive: Duration) {
+        self.connect_timeout.set(connect_timeout);
+        self.idle_limit.set(keepalive / IDLE_SHARE);
     }
 
     /// Takes in what discovery says of a server.
@@ -265,18 +285,19 @@
         }
     }
 
-    /// Retires idle connections before their servers do.
-    pub async fn sweep(self: Rc<Self>) {
+    /// Retires idle connections before their servers do, for as long as anyone has use for them.
+    pub async fn sweep(upstream: Weak<Self>) {
         loop {
             sleep(SWEEP).await;
-            for peer in self.peers.borrow().values() {
-                peer.idle.borrow_mut().retain(|kept| self.fresh(kept));
+            let Some(upstream) = upstream.upgrade() else { return };
+            for peer in upstream.peers.borrow().values() {
+                peer.idle.borrow_mut().retain(|kept| upstream.fresh(kept));
             }
         }
     }
 
     fn fresh(&self, connection: &Connection) -> bool {
-        !connection.sender.is_closed() && connection.kept.elapsed() < self.idle_limit
+        !connection.sender.is_closed() && connection.kept.elapsed() < self.idle_limit.get()
     }
 
     /// One attempt, until its answer is whole, its connection breaks or `until` comes.
@@ -342,13 +363,13 @@
             });
             Ok(Connection { sender, written, task: task.abort_handle(), kept: Instant::now() })
         };
-        timeout(self.connect_timeout, connecting).await.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
+        timeout(self.connect_timeout.get(), connecting).await.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
     }
 
     /// A place for a new connection. Where all are taken the idle one that has stood longest gives way: a node
     /// that met every server once must not be kept from the one it needs by connections that nobody uses.
     fn slot(&self) -> io::Result<Slot> {
-        if self.open.get() >= self.most {
+        if self.places.open.get() >= self.places.most.get() {
             let peers = self.peers.borrow();
             let oldest =
                 peers.values().filter_map(|p| Some((p.idle.borrow().first()?.kept, p))).min_by_key(|o| o.0);
@@ -357,8 +378,8 @@
                 None => return Err(io::ErrorKind::QuotaExceeded.into()),
             }
         }
-        self.open.set(self.open.get() + 1);
-        Ok(Slot(self.open.clone()))
+        self.places.open.set(self.places.open.get() + 1);
+        Ok(Slot(self.places.clone()))
     }
 }
 
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -78,6 +78,22 @@
     Nothing,
 }
 
+/// Holds answers back until it is opened.
+#[derive(Clone, Default)]
+pub struct Gate(Arc<(Mutex<bool>, Condvar)>);
+
+impl Gate {
+    pub fn open(&self) {
+        *self.0 .0.lock().unwrap() = true;
+        self.0 .1.notify_all();
+    }
+
+    pub fn wait(&self) {
+        let closed = self.0 .0.lock().unwrap();
+        drop(self.0 .1.wait_while(closed, |open| !*open).unwrap());
+    }
+}
+
 /// A cache server. It keeps what it was asked, in order.
 pub struct CacheServer {
     pub address: SocketAddr,
@@ -126,6 +142,17 @@
         Self::start(move |_| Does::Answer(answer("200 OK", "", body)))
     }
 
+    /// One that answers each request with this body once it is let to.
+    pub fn gated(body: &'static str) -> (Self, Gate) {
+        let gate = Gate::default();
+        let held = gate.clone();
+        let serve = move |_: &Message| {
+            held.wait();
+            Does::Answer(answer("200 OK", "", body))
+        };
+        (Self::start(serve), gate)
+    }
+
     pub fn count(&self) -> usize {
         self.asked.lock().unwrap().len()
     }
@@ -346,7 +373,7 @@
         self.signal("-TERM");
     }
 
-    fn signal(&self, name: &str) {
+    pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
         assert!(sent.success());
     }
@@ -358,6 +385,19 @@
         self.signal("-HUP");
     }
 
+    /// How many lines of its log hold these words.
+    pub fn said(&self, words: &str) -> usize {
+        self.log.lock().unwrap().iter().filter(|line| line.contains(words)).count()
+    }
+
+    /// Puts this text in place of the configuration and waits until the node has read it.
+    pub fn reconfigure(&self, text: &str) {
+        let read = || self.said("configuration read again: ") + self.said("configuration not taken: ");
+        let before = read();
+        self.reload(text);
+        wait_for("a word of the reload", || read() > before);
+    }
+
     pub fn exit(mut self) -> ExitStatus {
         let mut status = None;
         wait_for("the node's exit", || {
--- /dev/null
+++ b/crates/node/tests/reload.rs
@@ -0,0 +1,372 @@
+//! SIGHUP at an operator's node: what the file says holds from there on, and what was taken before is finished as it was
+//! taken.
+
+mod common;
+
+use common::{
+    answer, command, read, wait_for, CacheServer, Client, Discovery, Does, Folder, Gate, Node, PATIENCE,
+};
+use std::net::{SocketAddr, TcpListener};
+use std::os::unix::net::UnixDatagram;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+const CLIENTS: &str = "[[listener]]\nname = \"clients\"\naddress = \"127.0.0.1:0\"\n";
+
+fn class(name: &str, rest: &str) -> String {
+    format!("[[class]]\nname = \"{name}\"\naim = \"5s\"\ndeadline = \"20s\"\n{rest}")
+}
+
+fn safe(name: &str) -> String {
+    class(name, "effect = \"safe\"\n")
+}
+
+fn pool(name: &str, servers: &[&CacheServer]) -> String {
+    let server = |(number, server): (usize, &&CacheServer)| {
+        format!("[[pool.server]]\nname = \"box-{number}\"\naddress = \"{}\"\n", server.address)
+    };
+    let servers: String = servers.iter().enumerate().map(server).collect();
+    format!("[[pool]]\nname = \"{name}\"\n{servers}")
+}
+
+fn file(parts: &[&str]) -> String {
+    format!("version = 1\n{CLIENTS}{}", parts.concat())
+}
+
+fn run(folder: &Folder, text: &str) -> Node {
+    let path = folder.write("pinhead.toml", text);
+    let mut command = command();
+    command.arg("run").arg("--config").arg(&path);
+    let node = Node::spawn(command, path);
+    wait_for("the node's readiness", || node.get("/healthz").status() == 200);
+    node
+}
+
+/// An address that nothing listens on just now.
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// Asks on a connection of its own, and gives what comes of it once it does.
+fn asking(node: &Node, class: &str, key: u64) -> std::thread::JoinHandle<(u16, Vec<u8>)> {
+    let (mut client, text) = (node.client(), read(class, key, 20_000));
+    std::thread::spawn(move || {
+        let answer = client.ask(&text);
+        (answer.status(), answer.body)
+    })
+}
+
+#[test]
+fn a_request_whose_class_is_removed_or_changed_while_it_is_out_is_finished_and_later_ones_go_by_the_new_file()
+{
+    let (server, gate) = CacheServer::gated("a");
+    let folder = Folder::new();
+    let pool = pool("p", &[&server]);
+    let node = run(&folder, &file(&[&pool, &safe("read"), &safe("gone")]));
+    let out = [asking(&node, "read", 1), asking(&node, "gone", 2)];
+    wait_for("both requests", || server.count() == 2);
+    // The place of the class that is gone is another's now.
+    node.reconfigure(&file(&[&pool, &class("read", ""), &safe("new")]));
+    assert_eq!(node.said("class read changed, class new added, class gone removed"), 1);
+    assert_eq!(node.read("gone", 3).status(), 400);
+    gate.open();
+    for asked in out {
+        assert_eq!(asked.join().unwrap(), (200, b"a".to_vec()));
+    }
+    assert_eq!(node.read("new", 4).status(), 200);
+}
+
+// Guards against a request that goes out under what held when its head came: it is taken with its last byte.
+#[test]
+fn a_request_whose_body_is_on_its_way_over_a_reload_goes_by_the_new_file() {
+    let (one, other) = (CacheServer::serving("one"), CacheServer::serving("other"));
+    let folder = Folder::new();
+    let pools = format!("{}{}", pool("p", &[&one]), pool("q", &[&other]));
+    let to = |pool: &str| class("write", &format!("effect = \"safe\"\npool = \"{pool}\"\n"));
+    let node = run(&folder, &file(&[&pools, &to("p")]));
+    let head = "PUT /api/1 HTTP/1.1\r\nHost: s\r\nReq-Id: 1\r\nReq-Kind: write\r\nReq-Deadline-Ms: 20000\r\nContent-Length: 4\r\n\r\n";
+    let (mut moved, mut removed) = (node.client(), node.client());
+    moved.send(&format!("{head}bo"));
+    // Its head has been read once the one behind it on another connection is answered.
+    assert_eq!(node.read("write", 9).body, b"one");
+    node.reconfigure(&file(&[&pools, &to("q")]));
+    moved.send("dy");
+    assert_eq!(moved.answer().unwrap().body, b"other");
+    assert_eq!((one.count(), other.count()), (1, 1));
+    removed.send(&format!("{head}bo"));
+    assert_eq!(node.read("write", 8).body, b"other");
+    node.reconfigure(&file(&[&pools, &class("else", "pool = \"p\"\n")]));
+    removed.send("dy");
+    assert_eq!(removed.answer().unwrap().status(), 400);
+    assert_eq!((one.count(), other.count()), (1, 2));
+}
+
+#[test]
+fn a_pool_that_is_removed_finishes_what_it_took_and_one_that_is_added_serves() {
+    let ((old, gate), new) = (CacheServer::gated("old"), CacheServer::serving("new"));
+    let folder = Folder::new();
+    let node = run(&folder, &file(&[&pool("p", &[&old]), &safe("read")]));
+    let out = asking(&node, "read", 1);
+    wait_for("the request", || old.count() == 1);
+    node.reconfigure(&file(&[&pool("q", &[&new]), &safe("read")]));
+    assert_eq!(node.read("read", 2).body, b"new");
+    gate.open();
+    assert_eq!(out.join().unwrap(), (200, b"old".to_vec()));
+    wait_for("the old pool's connections to close", || old.closed.load(Ordering::SeqCst) == 1);
+    assert_eq!((old.count(), node.get("/healthz").status()), (1, 200));
+}
+
+// Guards against a pool that is begun anew because its list comes from elsewhere now: what is out would be lost.
+#[test]
+fn a_pools_list_may_come_from_elsewhere_and_what_is_out_is_finished() {
+    let (gate, other) = (Gate::default(), CacheServer::serving("other"));
+    let held = gate.clone();
+    let slow = CacheServer::start(move |asked| {
+        if asked.header("req-id") == Some("1") {
+            held.wait();
+        }
+        Does::Answer(answer("200 OK", "", "slow"))
+    });
+    let folder = Folder::new();
+    let from = |source: &str| file(&[&format!("[[pool]]\nname = \"p\"\n{source}"), &safe("read")]);
+    let node = run(&folder, &file(&[&pool("p", &[&slow]), &safe("read")]));
+    let out = asking(&node, "read", 1);
+    wait_for("the request", || slow.count() == 1);
+    // The list before holds until the file is there.
+    node.reconfigure(&from("file = \"boxes.toml\"\n"));
+    let list = format!("version = 1\n[[server]]\nname = \"box\"\naddress = \"{}\"\n", other.address);
+    folder.write("boxes.toml", &list);
+    wait_for("the file's list", || node.read("read", 2).body == b"other");
+    let discovery = Discovery::start(&[slow.entry("s", "draining"), other.entry("t", "ready")]);
+    node.reconfigure(&from(&format!("discovery = \"{}\"\n", discovery.address)));
+    discovery.wait_until_told(1);
+    assert_eq!(node.read("read", 3).body, b"other");
+    // The file means nothing any more, and neither does discovery once the file itself has the list.
+    folder.write("boxes.toml", &list.replace("box", "tub"));
+    node.reconfigure(&file(&[&pool("p", &[&other]), &safe("read")]));
+    discovery.tell(true, &[]);
+    assert_eq!(node.read("read", 4).body, b"other");
+    gate.open();
+    assert_eq!(out.join().unwrap(), (200, b"slow".to_vec()));
+}
+
+// Guards against what is known of servers being lost: a breaker that a reload closes sends work to a broken server.
+#[test]
+fn a_reload_leaves_breakers_as_they_are() {
+    let broken = CacheServer::start(|_| Does::Close(String::new()));
+    let good = CacheServer::serving("good");
+    let folder = Folder::new();
+    let text = |nodes: u32| {
+        format!("version = 1\nnodes = {nodes}\n{CLIENTS}{}{}", pool("p", &[&broken, &good]), safe("read"))
+    };
+    let node = run(&folder, &text(1));
+    for key in 0..60 {
+        node.read("read", key);
+    }
+    let tripped = broken.count();
+    assert!(node.said("breaker of box-0 tripped") == 1 && tripped > 0);
+    for nodes in 2..8 {
+        node.reconfigure(&text(nodes));
+        for key in 0..10 {
+            assert_eq!(node.read("read", key).body, b"good");
+        }
+    }
+    assert_eq!(broken.count(), tripped);
+}
+
+#[test]
+fn a_listener_that_is_removed_finishes_what_it_took_and_listens_no_more_until_it_is_back() {
+    let (server, gate) = CacheServer::gated("a");
+    let folder = Folder::new();
+    let second = free_address();
+    let listener = format!("[[listener]]\nname = \"second\"\naddress = \"{second}\"\n");
+    let rest = format!("{}{}", pool("p", &[&server]), safe("read"));
+    let (without, with) = (file(&[&rest]), file(&[&listener, &rest]));
+    let node = run(&folder, &without);
+    node.reconfigure(&with);
+    let mut out = Client::to(second);
+    let mut idle = Client::to(second);
+    assert_eq!(idle.ask("GET /healthz HTTP/1.1\r\nHost: s\r\n\r\n").status(), 200);
+    out.send(&read("read", 1, 20_000));
+    wait_for("the request", || server.count() == 1);
+    node.reconfigure(&without);
+    wait_for("the listener's end", || std::net::TcpStream::connect(second).is_err());
+    wait_for("the idle connection's end", || !idle.is_open());
+    assert_eq!(node.get("/healthz").status(), 200);
+    gate.open();
+    let answered = out.answer().unwrap();
+    assert_eq!((answered.status(), answered.header("connection")), (200, Some("close")));
+    // Back, and away and back again before its end is through.
+    node.reconfigure(&with);
+    node.reconfigure(&without);
+    node.reconfigure(&with);
+    assert_eq!(Client::to(second).ask(&read("read", 2, 20_000)).body, b"a");
+    assert_eq!(node.said("configuration not taken"), 0);
+}
+
+// Guards against half of a file that cannot be used being taken.
+#[test]
+fn a_file_that_cannot_be_used_changes_nothing_and_says_why() {
+    let (server, taken) = (CacheServer::serving("a"), TcpListener::bind("127.0.0.1:0").unwrap());
+    let folder = Folder::new();
+    let pool = pool("p", &[&server]);
+    let good = file(&[&pool, &safe("read")]);
+    let node = run(&folder, &good);
+    let occupied = taken.local_addr().unwrap();
+    let listener = format!("[[listener]]\nname = \"second\"\naddress = \"{occupied}\"\n");
+    let cases = [
+        (good.replace("version = 1", "version = 2"), "pinhead.toml:1: version: expected "),
+        (good[..good.len() - 20].to_owned(), "pinhead.toml:1"),
+        (file(&[&pool, &class("new", "effect = \"odd\"\n")]), "effect: expected "),
+        (file(&[&listener, &pool, &safe("new")]), &format!("cannot listen on {occupied}: ")),
+        (
+            format!(
+                "version = 1\n[limits]\ndescriptors = 32\n{CLIENTS}{}{pool}{}",
+                CLIENTS.replace("clients", "more"),
+                safe("new")
+            ),
+            "descriptors leave no room to work",
+        ),
+    ];
+    for (number, (text, why)) in cases.iter().enumerate() {
+        node.reconfigure(text);
+        assert_eq!(node.said("configuration not taken: "), number + 1, "{text}");
+        assert!(node.said(why) >= 1, "{why}: {:?}", node.log.lock().unwrap());
+        assert_eq!((node.read("read", 1).status(), node.read("new", 2).status()), (200, 400));
+    }
+    std::fs::remove_file(folder.0.join("pinhead.toml")).unwrap();
+    node.signal("-HUP");
+    wait_for("a word of the file that is gone", || node.said("pinhead.toml: No such file") == 1);
+    assert_eq!(node.read("read", 1).status(), 200);
+    assert_eq!(node.said("configuration read again"), 0);
+}
+
+#[test]
+fn more_descriptors_are_of_use_at_once_and_fewer_end_nothing_that_was_taken() {
+    let (server, gate) = CacheServer::gated("a");
+    let folder = Folder::new();
+    let rest = format!("{CLIENTS}{}{}", pool("p", &[&server]), safe("read"));
+    let with = |descriptors: u32| format!("version = 1\n[limits]\ndescriptors = {descriptors}\n{rest}");
+    // Room for four requests.
+    let node = run(&folder, &with(32));
+    let out: Vec<_> = (0..6).map(|key| asking(&node, "read", key)).collect();
+    wait_for("as many as there is room for", || server.count() == 4);
+    node.reconfigure(&with(200));
+    wait_for("the others", || server.count() == 6);
+    node.reconfigure(&with(32));
+    assert_eq!(server.count(), 6);
+    gate.open();
+    for asked in out {
+        assert_eq!(asked.join().unwrap().0, 200);
+    }
+    assert_eq!(node.read("read", 9).status(), 200);
+}
+
+#[test]
+fn a_hundred_signals_a_second_with_half_written_files_among_them_cost_no_request_its_one_answer() {
+    let server = CacheServer::serving("a");
+    let folder = Folder::new();
+    let rest = |turn: u32| {
+        let limits = format!("[limits]\nmax_attempts = {}\n", 1 + turn % 9);
+        format!("version = 1\n{CLIENTS}{limits}{}{}", pool("p", &[&server]), safe("read"))
+    };
+    let node = Arc::new(run(&folder, &rest(1)));
+    let over = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = (0..4_u64)
+        .map(|number| {
+            let (node, over) = (node.clone(), over.clone());
+            std::thread::spawn(move || {
+                let (mut client, mut key) = (node.client(), number << 32);
+                while !over.load(Ordering::SeqCst) {
+                    key += 1;
+                    assert_eq!(client.ask(&read("read", key, 20_000)).status(), 200);
+                }
+                key - (number << 32)
+            })
+        })
+        .collect();
+    for turn in 0..100 {
+        let text = rest(turn + 2);
+        // Every third is cut off somewhere.
+        let cut = if turn % 3 == 0 { text.len() * (turn as usize + 1) / 101 } else { text.len() };
+        node.reload(&text[..cut]);
+    }
+    // The last word holds, however many were one.
+    let last = format!("{}{}", rest(7), safe("last"));
+    node.reload(&last);
+    wait_for("the last file", || node.read("last", u64::MAX).status() == 200);
+    over.store(true, Ordering::SeqCst);
+    let asked: u64 = clients.into_iter().map(|client| client.join().unwrap()).sum();
+    // Each was sent on once, and the last class's once.
+    let keys: std::collections::BTreeSet<_> =
+        server.asked.lock().unwrap().iter().map(|asked| asked.header("req-id").unwrap().to_owned()).collect();
+    assert_eq!((server.count() as u64, keys.len() as u64), (asked + 1, asked + 1));
+    assert!(node.said("configuration read again: ") > 0);
+}
+
+// Guards against a node that cannot be stopped while it waits for its file.
+#[test]
+fn a_node_that_waits_for_its_file_serves_and_stops_when_it_is_told_to() {
+    let server = CacheServer::serving("a");
+    let folder = Folder::new();
+    let node = run(&folder, &file(&[&pool("p", &[&server]), &safe("read")]));
+    let path = folder.0.join("pinhead.toml");
+    std::fs::remove_file(&path).unwrap();
+    // Whoever opens it waits for a writer.
+    assert!(std::process::Command::new("mkfifo").arg(&path).status().unwrap().success());
+    node.signal("-HUP");
+    // It reads on threads of its own, each of which ends with what it reads.
+    wait_for("the reader", || waits_for_a_writer(node.child.id()));
+    assert_eq!(node.read("read", 1).status(), 200);
+    node.terminate();
+    assert!(node.exit().success());
+}
+
+/// Whether a thread of this process waits in the call that opens a file.
+fn waits_for_a_writer(process: u32) -> bool {
+    /// Of Linux, the number of openat(2) on this machine's kind.
+    const OPENAT: &str = if cfg!(target_arch = "x86_64") { "257 " } else { "56 " };
+    let tasks = std::fs::read_dir(format!("/proc/{process}/task")).unwrap();
+    tasks.flatten().any(|task| {
+        std::fs::read_to_string(task.path().join("syscall")).is_ok_and(|call| call.starts_with(OPENAT))
+    })
+}
+
+#[test]
+fn the_manager_is_told_when_a_reload_begins_and_when_it_is_over_and_why_it_came_to_nothing() {
+    let (server, folder) = (CacheServer::serving("a"), Folder::new());
+    let socket = UnixDatagram::bind(folder.0.join("notify")).unwrap();
+    socket.set_read_timeout(Some(PATIENCE)).unwrap();
+    let word = || {
+        let mut bytes = [0; 4096];
+        let length = socket.recv(&mut bytes).expect("a word");
+        String::from_utf8(bytes[..length].to_vec()).unwrap().trim_end().to_owned()
+    };
+    let good = file(&[&pool("p", &[&server]), &safe("read")]);
+    let path = folder.write("pinhead.toml", &good);
+    let mut command = command();
+    command.arg("run").arg("--config").arg(&path).env("NOTIFY_SOCKET", folder.0.join("notify"));
+    let node = Node::spawn(command, path);
+    assert_eq!([word(), word()], ["STATUS=serving", "READY=1"]);
+    let now = || rustix::time::clock_gettime(rustix::time::ClockId::Monotonic);
+    let mut since = now();
+    for (text, status) in [
+        (format!("{good}{}", safe("new")), "STATUS=serving".to_owned()),
+        (good.replace("safe", "odd"), "STATUS=serving as before: ".to_owned()),
+    ] {
+        node.reload(&text);
+        assert_eq!(word(), "STATUS=reloading");
+        let reloading = word();
+        let told =
+            reloading.strip_prefix("RELOADING=1\nMONOTONIC_USEC=").unwrap_or_else(|| panic!("{reloading}"));
+        let (told, until) = (told.parse::<i64>().unwrap(), now());
+        let micros = |time: rustix::time::Timespec| time.tv_sec * 1_000_000 + time.tv_nsec / 1_000;
+        assert!((micros(since)..=micros(until)).contains(&told), "{told}");
+        since = until;
+        let said = word();
+        assert!(said.starts_with(&status), "{said}");
+        assert_eq!(word(), "READY=1");
+    }
+    node.terminate();
+    assert_eq!(word(), "STOPPING=1");
+}
