--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -1,5 +1,6 @@
 //! What goes into a [`Balancer`](crate::Balancer) and what comes out: settings, events, actions.
 
+use crate::balance::Knowledge;
 use std::fmt;
 use std::ops::Add;
 use std::sync::Arc;
@@ -402,6 +403,9 @@
     Outcome(Outcome),
     /// The client left; nothing more is owed.
     Abandoned(RequestId),
+    /// What the process knew whose place this one takes. It comes before the first request, and may come again as long as
+    /// there is none.
+    Recalled(Arc<Knowledge>),
     /// From here on other settings hold. Requests taken before are judged by theirs to their end, and what is
     /// known of servers lives on; so does what is known by class, with the class's name. The mode, and whether
     /// weights tell speed, count for all.
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -1,5 +1,9 @@
 //! Every decision the router makes. Its interface, the types in and out, is `src/api.rs`.
 
+mod knowledge;
+
+pub use knowledge::Knowledge;
+
 use crate::api::*;
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
@@ -333,6 +337,7 @@
             }
             Event::Outcome(outcome) => self.outcome(now, &outcome, actions),
             Event::Abandoned(id) => self.held.get_mut(&id).into_iter().for_each(|held| held.done = true),
+            Event::Recalled(known) => self.recall(now, &known),
             Event::Reconfigured(settings) => self.reconfigure(now, settings),
             Event::Timer => self.armed = None,
             Event::FirstByte { .. } | Event::Probed { .. } => {}
--- /dev/null
+++ b/crates/decide/tests/knowledge.rs
@@ -0,0 +1,154 @@
+//! What one life of a balancer learned and the next one takes on.
+
+mod common;
+
+use common::{ms, settings, Node};
+use decide::*;
+use std::sync::Arc;
+
+/// The next life of this node's balancer: it has the same list, another seed and a clock of its own.
+fn successor(before: &Node, recalls: bool) -> Node {
+    let mut node = Node::new(before.settings.clone(), 2);
+    node.now = Timestamp::from_micros(77_000_000_000);
+    node.full_list(before.list.values().cloned().collect());
+    if recalls {
+        let known = before.balancer.knowledge(before.now);
+        // Over a link it goes as text.
+        let text = serde_json::to_string(&known).unwrap();
+        assert_eq!(serde_json::from_str::<Knowledge>(&text).unwrap(), known);
+        node.feed(Event::Recalled(Arc::new(known)));
+    }
+    node
+}
+
+/// Trips the breaker of the server that the key goes to.
+fn trip(node: &mut Node, key: u64) -> ServerId {
+    let home = node.call(key, Status::Reset).expect("sent");
+    for _ in 0..8 {
+        node.call(key, Status::Reset);
+    }
+    home
+}
+
+#[test]
+fn an_open_breaker_stays_open_for_what_is_left_of_its_time() {
+    let mut before = Node::with_servers(settings(), 4);
+    let home = trip(&mut before, 7);
+    before.pass(ms(2_000));
+    let mut fresh = successor(&before, false);
+    assert_eq!(fresh.call(7, Status::Ok), Some(home.clone()), "one that knows nothing sends there");
+    let mut node = successor(&before, true);
+    assert_ne!(node.call(7, Status::Ok), Some(home.clone()));
+    node.pass(ms(3_900));
+    assert_ne!(node.call(7, Status::Ok), Some(home.clone()));
+    node.pass(ms(200));
+    assert_eq!(node.call(7, Status::Ok), Some(home));
+}
+
+#[test]
+fn calls_that_failed_count_towards_the_same_window() {
+    let mut before = Node::with_servers(settings(), 4);
+    let home = before.call(7, Status::Reset).expect("sent");
+    before.call(7, Status::Reset);
+    for (recalls, trips) in [(false, false), (true, true)] {
+        let mut node = successor(&before, recalls);
+        node.call(7, Status::Reset);
+        assert_eq!(node.call(7, Status::Ok) != Some(home.clone()), trips);
+    }
+}
+
+// Guards against what was known of a server being held against the one that has started since under its id.
+#[test]
+fn another_life_of_a_server_begins_with_a_clean_slate() {
+    let mut before = Node::with_servers(settings(), 4);
+    let home = trip(&mut before, 7);
+    let known = before.balancer.knowledge(before.now);
+    let mut node = Node::new(before.settings.clone(), 2);
+    let long_ago = Timestamp::from_micros(1_000_000);
+    let started = |entry: &ServerEntry| ServerEntry {
+        started: (entry.id == home).then_some(long_ago),
+        ..entry.clone()
+    };
+    node.full_list(before.list.values().map(started).collect());
+    node.feed(Event::Recalled(Arc::new(known)));
+    assert_eq!(node.call(7, Status::Ok), Some(home));
+}
+
+// Guards against a cold server that gets its part of a slot twice: from the old process and from the new one.
+#[test]
+fn what_a_cold_server_got_in_a_slot_of_time_counts_on() {
+    let cold = Settings { nodes: 1, cold_share: 0.3, warm_within: ms(60_000), ..settings() };
+    let mut before = Node::new(cold, 1);
+    let entry = ServerEntry { started: Some(before.now), ..ServerEntry::new("cold") };
+    let warm = ServerEntry { weight: 0.001, ..ServerEntry::new("warm") };
+    before.full_list(vec![entry, warm]);
+    // Good answers are what the budget is a part of.
+    for key in 0..200 {
+        before.call(key, Status::Ok);
+    }
+    let sent_to_cold = |node: &mut Node, keys: std::ops::Range<u64>| {
+        keys.filter(|&key| node.call(key, Status::Ok).is_some_and(|server| server.as_str() == "cold")).count()
+    };
+    let more = sent_to_cold(&mut before, 1_000..1_400);
+    let known = Arc::new(before.balancer.knowledge(before.now));
+    let mut again = Node::new(before.settings.clone(), 1);
+    again.now = before.now;
+    again.full_list(before.list.values().cloned().collect());
+    again.feed(Event::Recalled(known));
+    assert_eq!(sent_to_cold(&mut again, 2_000..2_001), 0, "{more} before");
+    again.pass(ms(1_000));
+    assert!(sent_to_cold(&mut again, 3_000..3_010) > 0);
+}
+
+#[test]
+fn the_same_events_after_it_give_the_same_actions_as_without_the_change() {
+    // Equal seeds and clocks: the next life goes on as the one before would have.
+    let mut before = Node::with_servers(settings(), 5);
+    let play = |node: &mut Node, from: u64| {
+        let mut servers = Vec::new();
+        for step in from..from + 200 {
+            let status = [Status::Ok, Status::Ok, Status::Ok, Status::Reset][(step % 4) as usize];
+            servers.push(node.call(step % 31, status));
+            node.pass(ms(11));
+        }
+        servers
+    };
+    play(&mut before, 0);
+    let known = Arc::new(before.balancer.knowledge(before.now));
+    let mut next = Node::new(before.settings.clone(), 1);
+    next.now = before.now;
+    next.full_list(before.list.values().cloned().collect());
+    next.feed(Event::Recalled(known.clone()));
+    assert_eq!(*known, next.balancer.knowledge(next.now));
+    assert_eq!(play(&mut before, 200), play(&mut next, 200));
+}
+
+// Guards against numbers that nobody learned: a limit that is none, times beyond the end of any clock.
+#[test]
+fn numbers_out_of_range_are_taken_for_none_and_every_request_is_still_answered() {
+    let before = Node::with_servers(settings(), 3);
+    let text = serde_json::to_value(before.balancer.knowledge(before.now)).unwrap();
+    let mut spoilt = text.clone();
+    spoil(&mut spoilt);
+    assert_ne!(spoilt, text);
+    let known: Knowledge = serde_json::from_value(spoilt).expect("of the same shape");
+    let mut node = Node::with_servers(settings(), 3);
+    node.feed(Event::Recalled(Arc::new(known)));
+    for key in 0..300 {
+        node.call(key, Status::Ok);
+        node.pass(ms(50));
+    }
+    node.pass(ms(13_000));
+    assert!((0..300).filter(|&key| node.call(key, Status::Ok).is_some()).count() > 250);
+}
+
+/// Puts the most extreme number that fits into every place.
+fn spoil(value: &mut serde_json::Value) {
+    match value {
+        serde_json::Value::Number(number) if number.is_f64() => *value = (-1e300).into(),
+        serde_json::Value::Number(_) => *value = u32::MAX.into(),
+        serde_json::Value::Array(items) => items.iter_mut().for_each(spoil),
+        serde_json::Value::Object(fields) => fields.values_mut().for_each(spoil),
+        _ => {}
+    }
+}
