Hand over to another process: sockets and knowledge pass, and no connection is refused

Need: an upgrade meant a stop, with connections refused until the new process listens, and a start that knows nothing.

Change: [hand_over] in the operator's file names a Unix socket. A process that is started with the same file asks there, gets the listening sockets (SCM_RIGHTS) and what is known pool by pool, prepares, and accepts once the one before has paused; then that one finishes what it took, asks clients on open connections for another one with each answer, and ends. If the new one dies, hangs, or cannot read the state, the old one goes on, or the new one starts without.

--- a/crates/decide/src/handover.rs
+++ b/crates/decide/src/handover.rs
@@ -137,8 +137,6 @@
     /// It gets ready to serve.
     #[default]
     Preparing,
-    /// The same, and the giver has died: nobody accepts.
-    Orphaned,
     /// It could serve, and waits for the giver's word.
     Waiting,
     /// It accepts. The giver may still go on by itself, where it has waited too long.
@@ -156,8 +154,8 @@
         use TakerEvent::{Broken, Cancelled, Go, Prepared};
         let (next, actions): (_, &[_]) = match (*self, event) {
             (Self::Preparing, Prepared) => (Self::Waiting, &[SayReady]),
-            (Self::Preparing, Broken) => (Self::Orphaned, &[]),
-            (Self::Orphaned, Prepared) | (Self::Waiting, Broken) => (Self::Owning, &[Accept, Own]),
+            // Nobody accepts: one that is not ready yet is better than none, as at any start.
+            (Self::Preparing | Self::Waiting, Broken) => (Self::Owning, &[Accept, Own]),
             (Self::Waiting, Go) => (Self::Accepting, &[Accept, SayTaken]),
             (Self::Accepting, Broken) => (Self::Owning, &[Own]),
             (Self::Accepting, Cancelled) => (Self::Ended, &[Withdraw]),
--- a/crates/decide/tests/handover.rs
+++ b/crates/decide/tests/handover.rs
@@ -151,7 +151,7 @@
                 if taker.linked && (!state.to_taker.is_empty() || !giver.linked) {
                     steps.push(Step::TakerReads);
                 }
-                if matches!(taker.machine, Taker::Preparing | Taker::Orphaned) {
+                if taker.machine == Taker::Preparing {
                     steps.push(Step::Prepared);
                 }
             }
--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -7,6 +7,7 @@
 use decide::Settings;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 /// Fewer descriptors than this don't hold the runtime's own and one connection each way.
 pub const LEAST_DESCRIPTORS: usize = 32;
@@ -23,6 +24,17 @@
     pub descriptors: usize,
     /// One at least.
     pub pools: Vec<Pool>,
+    /// How another process may take this one's place; `None` where it may not.
+    pub hand_over: Option<HandOver>,
+}
+
+/// How one process hands over to another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HandOver {
+    /// Where the one that serves listens for its successor.
+    pub socket: PathBuf,
+    /// Each step is done within this, or the one that serves goes on.
+    pub within: Duration,
 }
 
 /// Where clients are accepted.
@@ -32,6 +44,14 @@
     pub address: SocketAddr,
 }
 
+impl Listener {
+    /// Whether it is the same one. It is while its address is, whatever it is called: an address can be listened on only
+    /// once. Where the system picks the port it is the same one while its name is.
+    pub fn is(&self, other: &Self) -> bool {
+        self.address == other.address && (self.address.port() != 0 || self.name == other.name)
+    }
+}
+
 /// Cache servers that serve some classes of requests, and what is decided for these.
 #[derive(Clone, Debug)]
 pub struct Pool {
--- a/crates/node/src/config/operator.rs
+++ b/crates/node/src/config/operator.rs
@@ -2,7 +2,7 @@
 //!
 //! All faults are found in one reading, each with its line and what was expected: serde would stop at the first one.
 
-use super::{Config, Listener, Pool, Source, LEAST_DESCRIPTORS};
+use super::{Config, HandOver, Listener, Pool, Source, LEAST_DESCRIPTORS};
 use crate::listing::{Host, Listing};
 use checked_toml::{time_text, Document, Fault, Table};
 use decide::{Class, Effect, Scope, Settings};
@@ -23,6 +23,8 @@
 const MOST_DESCRIPTORS: u64 = 1 << 16;
 /// A list that is longer is none.
 const LARGEST_LIST: u64 = 8 << 20;
+/// Of the path of a Unix socket, whole, with room for the number of a process behind it (unix(7) has 108 bytes).
+const LONGEST_SOCKET: usize = 80;
 const MOST_NODES: u64 = 10_000;
 const TIME: RangeInclusive<Duration> = Duration::from_millis(1)..=Duration::from_secs(3_600);
 const SHARE: RangeInclusive<f64> = 0.0..=1.0;
@@ -146,7 +148,8 @@
         }
     }
     let seed = top.count("seed", 0..=u64::MAX).unwrap_or_else(|| fastrand::u64(..));
-    Config { name: name_of_node, listeners, seed, descriptors, pools }
+    let hand_over = top.table("hand_over", |t| hand_over(t, folder));
+    Config { name: name_of_node, listeners, seed, descriptors, pools, hand_over }
 }
 
 /// The descriptors that this process may hold.
@@ -154,6 +157,14 @@
     getrlimit(Resource::Nofile).current.unwrap_or(MOST_DESCRIPTORS).min(MOST_DESCRIPTORS) as usize
 }
 
+fn hand_over(t: &Table, folder: &Path) -> HandOver {
+    let socket = t.text("socket", "the path of a Unix socket, of up to 80 bytes", |path| {
+        (1..=LONGEST_SOCKET).contains(&folder.join(path).as_os_str().len())
+    });
+    let within = t.time("within", TIME).unwrap_or(Duration::from_secs(30));
+    HandOver { socket: folder.join(t.need("socket", socket)), within }
+}
+
 fn limits(t: &Table, base: &Settings) -> (usize, Settings) {
     let descriptors = t.count("descriptors", LEAST_DESCRIPTORS as u64..=MOST_DESCRIPTORS);
     let settings = Settings {
@@ -266,6 +277,10 @@
     writeln!(text, "idle = {}\nweights_tell_speed = {}", time(settings.keepalive), settings.sized)?;
     writeln!(text, "cold_share = {:?}\nwarm_within = {}", settings.cold_share, time(settings.warm_within))?;
     writeln!(text, "fall_multiple = {:?}\nfall_span = {}", settings.fall_multiple, time(settings.fall_span))?;
+    if let Some(HandOver { socket, within }) = &config.hand_over {
+        let socket = socket.display().to_string();
+        writeln!(text, "\n[hand_over]\nsocket = {socket:?}\nwithin = {}", time(*within))?;
+    }
     for Listener { name, address } in &config.listeners {
         writeln!(text, "\n[[listener]]\nname = \"{name}\"\naddress = \"{address}\"")?;
     }
--- a/crates/node/src/config/platform.rs
+++ b/crates/node/src/config/platform.rs
@@ -76,6 +76,7 @@
         seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::Seed(file.seed))?,
         descriptors: sockets,
         pools: vec![pool],
+        hand_over: None,
     })
 }
 
--- a/crates/node/src/daemon/change.rs
+++ b/crates/node/src/daemon/change.rs
@@ -1,6 +1,6 @@
 //! What a new configuration changes: which listeners and pools go on as they are, and the words for it.
 
-use crate::config::{Config, Listener, Source};
+use crate::config::{Config, Source};
 use decide::{Class, Settings};
 use std::fmt;
 
@@ -15,17 +15,13 @@
 }
 
 impl Change {
-    /// Compares the two. A listener is the same one while its address is, whatever it is called: an address can be
-    /// listened on only once. Where the system picks the port it is the same one while its name is. A pool goes by its
-    /// name: what is known of its servers lives on, wherever their list comes from.
+    /// Compares the two. Listeners go by [`Listener::is`], and a pool by its name: what is known of its servers lives on,
+    /// wherever their list comes from.
     pub fn between(held: &Config, wanted: &Config) -> Self {
-        let same = |one: &Listener, other: &Listener| {
-            one.address == other.address && (one.address.port() != 0 || one.name == other.name)
-        };
         let listeners: Vec<_> = wanted
             .listeners
             .iter()
-            .map(|listener| held.listeners.iter().position(|other| same(listener, other)))
+            .map(|listener| held.listeners.iter().position(|other| listener.is(other)))
             .collect();
         let pools: Vec<_> = wanted
             .pools
@@ -66,6 +62,9 @@
                 words.push(format!("class {} removed", class.name));
             }
         }
+        if held.hand_over != wanted.hand_over {
+            words.push("hand-over changed".into());
+        }
         if held.descriptors != wanted.descriptors {
             words.push(format!("{} descriptors", wanted.descriptors));
         }
--- a/crates/node/src/daemon/listeners.rs
+++ b/crates/node/src/daemon/listeners.rs
@@ -6,7 +6,8 @@
 use crate::manager::Passed;
 use crate::stage::Stage;
 use std::error::Error;
-use std::rc::Rc;
+use std::os::fd::{AsFd, OwnedFd};
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -19,23 +20,40 @@
 /// Sockets that are listened on, each beside the place of its listener in the configuration.
 pub type Bound = Vec<(usize, TcpListener)>;
 
-/// Listens for those that `wanted` names: on a socket that the service manager passed, or on its address.
+/// Sockets that others have opened.
+#[derive(Debug, Default)]
+pub struct Opened {
+    /// By the service manager.
+    pub passed: Passed,
+    /// By the process whose place this one takes.
+    pub offered: Vec<(Listener, std::net::TcpListener)>,
+}
+
+impl Opened {
+    fn take(&mut self, listener: &Listener) -> Option<std::net::TcpListener> {
+        let place = self.offered.iter().position(|(other, _)| other.is(listener));
+        place.map(|place| self.offered.swap_remove(place).1).or_else(|| self.passed.take(&listener.name))
+    }
+}
+
+/// Listens for those that `wanted` names: on a socket that another has opened, or on its address.
 pub async fn bind(
     listeners: &[Listener],
     wanted: impl Iterator<Item = usize>,
-    passed: &mut Passed,
+    opened: &mut Opened,
 ) -> Result<Bound, Box<dyn Error>> {
     let mut bound = Vec::new();
     for place in wanted {
-        let Listener { name, address } = &listeners[place];
-        let listener = match passed.take(name) {
+        let listener = match opened.take(&listeners[place]) {
             Some(socket) => {
                 socket.set_nonblocking(true)?;
                 TcpListener::from_std(socket)?
             }
-            None => TcpListener::bind(address)
-                .await
-                .map_err(|error| format!("cannot listen on {address}: {error}"))?,
+            None => {
+                let address = listeners[place].address;
+                let bound = TcpListener::bind(address).await;
+                bound.map_err(|error| format!("cannot listen on {address}: {error}"))?
+            }
         };
         bound.push((place, listener));
     }
@@ -51,6 +69,8 @@
 }
 
 struct Running {
+    /// Goes with its serving, which holds it open.
+    socket: Weak<TcpListener>,
     stage: watch::Sender<Stage>,
     serving: JoinHandle<()>,
 }
@@ -99,7 +119,43 @@
             eprintln!("node {name} listens on {address}");
         }
         let (stage, watched) = watch::channel(Stage::Serving);
-        Running { stage, serving: spawn_local(serve(socket, watched, self.front.clone())) }
+        let socket = Rc::new(socket);
+        let weak = Rc::downgrade(&socket);
+        Running { socket: weak, stage, serving: spawn_local(serve(socket, watched, self.front.clone())) }
+    }
+
+    /// Accepts on none until [`Listeners::resume`], with all left open.
+    pub fn pause(&self) {
+        self.enter(Stage::Paused);
+    }
+
+    /// Accepts again.
+    pub fn resume(&self) {
+        self.enter(Stage::Serving);
+    }
+
+    fn enter(&self, stage: Stage) {
+        for running in &self.running {
+            running.stage.send_replace(stage);
+        }
+    }
+
+    /// A descriptor of each socket, by its place in the configuration. One that cannot be had is left out.
+    pub fn sockets(&self) -> Vec<(usize, OwnedFd)> {
+        let all = self.running.iter().enumerate();
+        let socket = |running: &Running| running.socket.upgrade()?.as_fd().try_clone_to_owned().ok();
+        all.filter_map(|(place, running)| Some((place, socket(running)?))).collect()
+    }
+
+    /// Leaves accepting to the process that has taken over.
+    pub fn hand_over(&self) {
+        self.enter(Stage::HandedOver);
+    }
+
+    /// Waits until every connection has ended by itself, which those that nobody uses do by their time.
+    pub async fn ended(&mut self) {
+        self.wait_for_removed().await;
+        self.front.table.drained().await;
     }
 
     /// Closes all and waits until every connection has ended.
--- a/crates/node/src/daemon/pools.rs
+++ b/crates/node/src/daemon/pools.rs
@@ -5,6 +5,7 @@
 use crate::discovery::Discovery;
 use crate::driver::Driver;
 use crate::fronts::http1::{Class, Routes};
+use crate::handover::PoolState;
 use crate::input::Input;
 use crate::list_file;
 use crate::listing::Listing;
@@ -14,7 +15,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::mpsc::{self, UnboundedSender};
-use tokio::sync::{watch, Notify};
+use tokio::sync::{oneshot, watch, Notify};
 use tokio::task::{spawn_local, AbortHandle};
 
 /// All of them, in the configuration's order.
@@ -52,21 +53,63 @@
     }
 }
 
+impl Running {
+    /// Takes on what another process knew. The list that stands in the file itself is as the file has it.
+    fn recall(&self, PoolState { listing, knowledge, .. }: PoolState) {
+        let listing = match self.pool.source {
+            Source::Fixed => self.pool.known.clone(),
+            Source::Discovery(_) | Source::File(_) => listing,
+        };
+        // The driver only goes once it is retired.
+        let _ = self.events.send(Input::Recalled(Box::new((listing, knowledge))));
+    }
+}
+
 impl Pools {
-    /// Begins them.
-    pub fn start(pools: Vec<Pool>, places: Rc<Places>, seed: u64) -> Self {
+    /// Begins them, with what another process knew of them.
+    pub fn start(pools: Vec<Pool>, places: Rc<Places>, seed: u64, mut known: Vec<PoolState>) -> Self {
         let mut all = Self { running: Vec::new(), places, seed, begun: 0 };
-        all.running = pools.into_iter().map(|pool| all.begin(pool)).collect();
+        for pool in pools {
+            let place = known.iter().position(|known| known.name == pool.name);
+            let running = all.begin(pool, place.map(|place| known.swap_remove(place)));
+            all.running.push(running);
+        }
         all
     }
 
+    /// What another process knows by now, whose place this one takes.
+    pub fn recall(&self, known: Vec<PoolState>) {
+        for known in known {
+            if let Some(running) = self.running.iter().find(|running| running.pool.name == known.name) {
+                running.recall(known);
+            }
+        }
+    }
+
+    /// What is known by now.
+    pub async fn report(&self) -> Vec<PoolState> {
+        let mut reports = Vec::new();
+        for Running { pool, events, .. } in &self.running {
+            let (answer, report) = oneshot::channel();
+            // The driver only goes once it is retired.
+            let _ = events.send(Input::Report(answer));
+            let Ok((listing, knowledge)) = report.await else { continue };
+            let discovery = match pool.source {
+                Source::Discovery(at) => Some(at),
+                Source::File(_) | Source::Fixed => None,
+            };
+            reports.push(PoolState { name: pool.name.clone(), discovery, listing, knowledge });
+        }
+        reports
+    }
+
     /// Takes on what a new configuration says. A pool that it lacks takes nothing more and ends with its last request.
     pub fn change(&mut self, change: &Change, config: &Config) {
         let mut before: Vec<_> = std::mem::take(&mut self.running).into_iter().map(Some).collect();
         for (place, pool) in change.pools.iter().zip(&config.pools) {
             let running = match place.and_then(|place| before[place].take()) {
                 Some(running) => self.go_on(running, pool.clone()),
-                None => self.begin(pool.clone()),
+                None => self.begin(pool.clone(), None),
             };
             self.running.push(running);
         }
@@ -99,7 +142,7 @@
         }
     }
 
-    fn begin(&mut self, pool: Pool) -> Running {
+    fn begin(&mut self, pool: Pool, recalled: Option<PoolState>) -> Running {
         let seed = self.seed.wrapping_add(self.begun);
         self.begun += 1;
         // Unbounded, and bounded all the same by the connections: each has one request, or one attempt, in it.
@@ -110,12 +153,20 @@
         let (connecting, idle) = (settings.connect_timeout, settings.keepalive);
         let upstream = Rc::new(Upstream::new(self.places.clone(), connecting, idle));
         spawn_local(Upstream::sweep(Rc::downgrade(&upstream)));
-        let seq = (!known.hosts.is_empty()).then_some(known.seq);
+        // A watch goes on from the version that the other process had, if it was the same discovery's.
+        let seq = match &recalled {
+            Some(other) if other.discovery.map(Source::Discovery).as_ref() == Some(&pool.source) => {
+                Some(other.listing.seq)
+            }
+            _ => (!known.hosts.is_empty()).then_some(known.seq),
+        };
         let list = List::begin(&pool.source, seq, seed, &events, &follow);
         let balancer = Balancer::new(settings.clone(), seed);
         let driver = Driver::new(balancer, upstream, follow.clone(), has_servers, events.clone());
         spawn_local(driver.run(known.clone(), inputs));
-        Running { pool, events, ready, follow, list }
+        let running = Running { pool, events, ready, follow, list };
+        recalled.into_iter().for_each(|recalled| running.recall(recalled));
+        running
     }
 
     /// The same pool under another description.
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -74,6 +74,8 @@
     open: HashMap<RequestId, Open>,
     timers: BTreeSet<(Instant, Timer)>,
     due: VecDeque<Event>,
+    /// The list as it is by now.
+    listing: Listing,
     retired: bool,
 }
 
@@ -96,6 +98,7 @@
             open: HashMap::new(),
             timers: BTreeSet::new(),
             due: VecDeque::new(),
+            listing: Listing::default(),
             retired: false,
         }
     }
@@ -146,6 +149,17 @@
                 self.upstream.configure(settings.connect_timeout, settings.keepalive);
                 self.due.push_back(Event::Reconfigured(*settings));
             }
+            Input::Recalled(recalled) => {
+                let (listing, knowledge) = *recalled;
+                let entries = self.learn(&Listing { whole: true, ..listing });
+                self.due.push_back(Event::Restored(entries));
+                self.due.push_back(Event::Recalled(Arc::new(knowledge)));
+            }
+            Input::Report(answer) => {
+                let knowledge = self.balancer.knowledge(self.clock.at(Instant::now()));
+                // Whoever asked may have given up.
+                let _ = answer.send((self.listing.clone(), knowledge));
+            }
             Input::Retired => self.retired = true,
             // Whoever asked may have given up.
             Input::Alive(answer) => drop(answer.send(())),
@@ -156,6 +170,7 @@
     /// Hands a list to the connections and gives its entries back as the module's. It goes to both in one
     /// step, so that no attempt of the module's can overtake it.
     fn learn(&mut self, listing: &Listing) -> Arc<[ServerEntry]> {
+        self.listing.merge(listing);
         let entries: Arc<[ServerEntry]> = listing.hosts.iter().map(|host| host.entry()).collect();
         if listing.whole {
             self.upstream.retain(|id| entries.iter().any(|entry| entry.id == *id));
--- a/crates/node/src/fronts/http1.rs
+++ b/crates/node/src/fronts/http1.rs
@@ -17,7 +17,6 @@
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::hash::{DefaultHasher, Hasher};
-use std::pin::pin;
 use std::rc::Rc;
 use std::str::FromStr;
 use std::sync::Arc;
@@ -127,16 +126,26 @@
 
 /// Accepts and serves until `stage` is that of closing. All listeners together hold the front's places; further connections wait
 /// unaccepted.
-pub async fn serve(listener: TcpListener, stage: watch::Receiver<Stage>, front: Rc<Front>) {
+pub async fn serve(listener: Rc<TcpListener>, stage: watch::Receiver<Stage>, front: Rc<Front>) {
     let slots = front.places.clone();
     let mut watched = stage.clone();
-    let mut closing = pin!(watched.wait_for(|stage| *stage == Stage::Closing));
     loop {
+        let now = *watched.borrow_and_update();
+        match now {
+            Stage::Serving | Stage::Leaving => {}
+            Stage::Paused => {
+                // The stage goes with the node only.
+                let _ = watched.changed().await;
+                continue;
+            }
+            Stage::HandedOver => return,
+            Stage::Closing => break,
+        }
         let accepted = tokio::select! {
             // What the machine has accepted by then is taken: it comes before the end.
             biased;
             accepted = accept(&listener, &slots, &front.table) => accepted,
-            _ = &mut closing => break,
+            _ = watched.changed() => continue,
         };
         match accepted {
             Ok((stream, slot)) => spawn_connection(stream, slot, &stage, &front),
@@ -156,7 +165,6 @@
             Poll::Pending => break,
         }
     }
-    drop(listener);
 }
 
 fn spawn_connection(
@@ -236,7 +244,7 @@
     };
     // A client that sends what can't be used comes again at once: not on this connection, where it would cost
     // the others the least of waits between two.
-    if !usable || *stage.borrow() >= Stage::Leaving || !place.keeps() {
+    if !usable || *stage.borrow() >= Stage::HandedOver || !place.keeps() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -256,7 +264,7 @@
         head.uri.path_and_query().cloned().ok_or_else(|| plain(StatusCode::BAD_REQUEST, "no path"))?;
     if target.path() == "/healthz" {
         return match head.method {
-            Method::GET if front.ready.reached() && *stage.borrow() == Stage::Serving => {
+            Method::GET if front.ready.reached() && *stage.borrow() < Stage::HandedOver => {
                 Ok(plain(StatusCode::OK, "ready"))
             }
             Method::GET => Ok(plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")),
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -3,7 +3,7 @@
 use crate::listing::Listing;
 use crate::upstream::{Ended, Message};
 use bytes::Bytes;
-use decide::{ClassId, RequestId, Settings, TenantId};
+use decide::{ClassId, Knowledge, RequestId, Settings, TenantId};
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -52,6 +52,10 @@
     ListingFailed,
     /// Other settings hold for what is taken from here on.
     Reconfigured(Box<Settings>),
+    /// What the process knew whose place this one takes. It comes before the first request.
+    Recalled(Box<(Listing, Knowledge)>),
+    /// What is known by now is wanted.
+    Report(oneshot::Sender<(Listing, Knowledge)>),
     /// Nothing more is taken: the driver ends once all that it has is finished.
     Retired,
     /// Whether the driver still does its work: it answers.
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -1,11 +1,11 @@
 //! The list of cache servers in discovery's words, and as the module's.
 
 use decide::{Availability, ServerEntry, Timestamp};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// Discovery's answer: the whole list, or what changed.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Listing {
     pub seq: u64,
     pub whole: bool,
@@ -14,7 +14,7 @@
 }
 
 /// One cache server in it.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Host {
     pub host: String,
     /// Where it listens; one that is gone may have no address.
@@ -27,6 +27,21 @@
     pub born_ms: Option<u64>,
 }
 
+impl Listing {
+    /// Takes in what came after it: a whole list, or changes.
+    pub fn merge(&mut self, news: &Self) {
+        if news.whole {
+            *self = news.clone();
+            return;
+        }
+        self.seq = news.seq;
+        for host in &news.hosts {
+            self.hosts.retain(|other| other.host != host.host);
+        }
+        self.hosts.extend(news.hosts.iter().filter(|host| host.health != "gone").cloned());
+    }
+}
+
 impl Host {
     /// The entry as the module knows it.
     pub fn entry(&self) -> ServerEntry {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -5,6 +5,7 @@
 mod discovery;
 mod driver;
 mod fronts;
+mod handover;
 mod input;
 mod list_file;
 mod listing;
--- a/crates/node/src/manager.rs
+++ b/crates/node/src/manager.rs
@@ -18,6 +18,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Word {
     Ready,
+    Main,
     Reloading,
     Stopping,
     Alive,
@@ -68,6 +69,7 @@
             for word in words {
                 let told = match &word {
                     Word::Ready => sd_notify::notify(&[NotifyState::Ready]),
+                    Word::Main => sd_notify::notify(&[NotifyState::MainPid(std::process::id())]),
                     Word::Reloading => NotifyState::monotonic_usec_now()
                         .and_then(|now| sd_notify::notify(&[NotifyState::Reloading, now])),
                     Word::Stopping => sd_notify::notify(&[NotifyState::Stopping]),
@@ -125,6 +127,11 @@
         self.tell(Word::Ready);
     }
 
+    /// It has taken another process's place: the manager minds this one from here on.
+    pub fn main(&self) {
+        self.tell(Word::Main);
+    }
+
     /// It was told to stop.
     pub fn stopping(&self) {
         self.tell(Word::Stopping);
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -281,7 +281,9 @@
 pub struct Node {
     pub address: SocketAddr,
     pub child: Child,
-    /// Its log, but for the first line.
+    /// Its log up to the line that says where it listens.
+    pub first: String,
+    /// What came after that line.
     pub log: Arc<Mutex<Vec<String>>>,
     config: std::path::PathBuf,
 }
@@ -338,15 +340,21 @@
     pub fn spawn(mut command: Command, config: std::path::PathBuf) -> Self {
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut line = String::new();
-        log.read_line(&mut line).unwrap();
-        let address = line.trim_end().rsplit(' ').next().unwrap().parse();
-        let address = address.unwrap_or_else(|_| panic!("the node's first line: {line}"));
+        // What it says before it listens.
+        let mut first = String::new();
+        let address = loop {
+            let mut line = String::new();
+            assert!(log.read_line(&mut line).unwrap() > 0, "it ended before it listened: {first}");
+            if let Some((_, address)) = line.trim_end().split_once(" listens on ") {
+                break address.parse().unwrap();
+            }
+            first += &line;
+        };
         // The rest of its log must not fill the pipe.
         let lines: Arc<Mutex<Vec<String>>> = Arc::default();
         let kept = lines.clone();
         thread::spawn(move || log.lines().map_while(Result::ok).for_each(|l| kept.lock().unwrap().push(l)));
-        Self { address, child, log: lines, config }
+        Self { address, child, first, log: lines, config }
     }
 
     /// Starts a node and waits until it is ready for clients.
--- a/crates/node/tests/operator.rs
+++ b/crates/node/tests/operator.rs
@@ -111,7 +111,11 @@
         let unit = std::fs::read_to_string(deploy.join(unit)).unwrap();
         let calls: Vec<_> = unit.lines().filter_map(|line| line.strip_prefix("ExecStart")).collect();
         assert_eq!(calls.len(), 2, "{unit}");
-        assert!(unit.contains("Type=notify\n") && unit.contains("WatchdogSec="));
+        assert!(
+            unit.contains("Type=notify-reload\n")
+                && unit.contains("NotifyAccess=all\n")
+                && unit.contains("WatchdogSec=")
+        );
         for call in calls {
             let words = call.split_once('=').unwrap().1.split(' ').skip(1);
             let words =
@@ -144,7 +148,7 @@
         (pool.to_owned(), "bad.toml:1: class: expected at least one [[class]]"),
         (format!("nodes = 0\n{good}"), "bad.toml:2: nodes: expected a whole number from 1 to 10000, found 0"),
         (format!("name = \"a b\"\n{good}"), "bad.toml:2: name: expected a name of up to 64 letters"),
-        (format!("{good}[limit]\n"), "bad.toml:11: limit: unknown key; known here: class, limits, listener, "),
+        (format!("{good}[limit]\n"), "bad.toml:11: limit: unknown key; known here: class, hand_over, limits, "),
         (
             format!("{good}[limits]\ndescriptors = 3"),
             "bad.toml:12: limits.descriptors: expected a whole number from 32 to 65536, found 3",
