Supervise fleets for trials; rehearse rolls and reloads; begin where all servers are cold

Need: many instances have to be started, rolled, reloaded and drained in trials, and rehearsals know neither hand-over nor reload. Where all servers are cold nothing was ever sent: a node's part for a cold one is taken from its good answers, and there were none, so after a power cut all was refused until the servers counted as warm by age.

The log is written line by line: lines of processes that share it mixed, and a log that nobody reads ended the process.

--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -169,6 +169,8 @@
     pub sized: bool,
     /// Whether the list must be asked for (`Follow`) rather than pushed.
     pub must_follow: bool,
+    /// Whether the list tells when servers started. Where it does not, one that comes to it later is taken for fresh.
+    pub starts_told: bool,
     /// Attempts a request may have.
     pub max_attempts: u32,
     /// Whether two attempts of a request may be out at once.
@@ -204,6 +206,7 @@
             mode: CacheMode::Through,
             sized: true,
             must_follow: false,
+            starts_told: true,
             max_attempts: 3,
             second_copies: false,
             cancelling: false,
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -25,6 +25,9 @@
 const COMMON_RATE: f64 = TRIP_RATE / 2.0;
 /// Share of a cold server's stated multiple that is used: a span can touch three half-span slots.
 const COLD_PART: f64 = 0.7;
+/// So much of what a cold server is sent, by all nodes together in a slot of time, needs no good answers
+/// before: none come where all servers are cold. It is little beside what any server can do.
+const COLD_TRICKLE: f64 = 2.0;
 /// A node keeps a connection for its next send if that comes within its part of this time.
 const KEPT_OPEN: Duration = Duration::from_secs(300);
 /// Retry budget: each request pays in this much, and no more than so many are saved up.
@@ -253,6 +256,8 @@
     settings: Arc<Settings>,
     seed: u64,
     drawn: u64,
+    /// A list has come.
+    listed: bool,
     /// Sorted by id. Draining servers stay until discovery removes them.
     servers: Vec<Server>,
     /// Looked up by id, since its order differs from run to run; walked only where each is changed by itself.
@@ -303,6 +308,7 @@
             fetch_limit: f64::INFINITY,
             fetch_cut: Timestamp::default(),
             ends: [(0.0, 0.0); 2],
+            listed: false,
             servers: Vec::new(),
             held: HashMap::new(),
             due: BTreeSet::new(),
@@ -400,6 +406,7 @@
         if full {
             self.servers.retain(|server| entries.iter().any(|entry| entry.id == server.entry.id));
         }
+        let first = !std::mem::replace(&mut self.listed, true);
         for entry in entries {
             let place = self.servers.binary_search_by(|server| server.entry.id.cmp(&entry.id));
             match place {
@@ -407,6 +414,7 @@
                     self.servers.remove(i);
                 }
                 Ok(i) => {
+                    let entry = &self.dated(entry, Some(&self.servers[i].entry), now);
                     if entry.started != self.servers[i].entry.started {
                         let server = &mut self.servers[i];
                         server.breaker.enter(State::Closed, now);
@@ -422,7 +430,8 @@
                         self.kinds.push(Kind { name: entry.kind.clone(), pace: 0.0, answers: PACE_PRIOR });
                         self.kinds.len() - 1
                     });
-                    let (entry, breaker, gap) = (entry.clone(), Breaker::new(WINDOW, now), Duration::MAX);
+                    let entry = if first { entry.clone() } else { self.dated(entry, None, now) };
+                    let (breaker, gap) = (Breaker::new(WINDOW, now), Duration::MAX);
                     let (slot, used, in_flight, limit, sent) = (0, 0, 0, self.limit_start, now);
                     let unqueued = None;
                     let by_class =
@@ -447,6 +456,18 @@
         }
     }
 
+    /// An entry with the time of its server's start, where lists do not tell that: one that was not there
+    /// before, or was to be sent no more, has most likely just started.
+    fn dated(&self, entry: &ServerEntry, before: Option<&ServerEntry>, now: Timestamp) -> ServerEntry {
+        if self.settings.starts_told || entry.started.is_some() {
+            return entry.clone();
+        }
+        let known = before.filter(|before| before.availability == Availability::Ready);
+        let back = entry.availability == Availability::Ready;
+        let started = known.map_or(back.then_some(now), |before| before.started);
+        ServerEntry { started, ..entry.clone() }
+    }
+
     fn is_origin(&self, entry: &ServerEntry) -> bool {
         let CacheMode::Aside { origin_kind } = &self.settings.mode else { return false };
         entry.kind.as_ref() == Some(origin_kind)
@@ -470,6 +491,7 @@
 
     /// Pushed over by all nodes, a cold server never comes back: each sends its part of what its size
     /// should get of the good answers seen here, in slots drawn by seed, with nothing in hand or saved up.
+    /// A node that has just started has seen none, and begins with its part of a trickle.
     fn cold_room(&self, i: usize, now: Timestamp) -> bool {
         let server = &self.servers[i];
         if self.is_origin(&server.entry) || self.warmth(&server.entry, now) >= 1.0 {
@@ -481,6 +503,7 @@
         let share = self.capacity(server, now) / fleet;
         let spans = self.settings.fall_span.as_secs_f64() / RATE_SPAN.as_secs_f64();
         let part = self.good * spans / 2.0 * share * self.settings.fall_multiple * COLD_PART;
+        let part = part.max(COLD_TRICKLE / f64::from(self.settings.nodes.max(1)));
         let used = if server.slot == slot { server.used } else { 0 };
         f64::from(used) < (part + unit(mix(self.seed ^ server.hash ^ slot))).floor()
     }
--- a/crates/decide/src/platform.rs
+++ b/crates/decide/src/platform.rs
@@ -147,6 +147,7 @@
         },
         sized: matches!(fields.text("weights"), None | Some("nominal")),
         must_follow: fields.text("membership_mode") == Some("subscribe"),
+        starts_told: base.starts_told,
         max_attempts: fields.optional("limits.most_tries")?.unwrap_or(base.max_attempts),
         second_copies: fields.flag("limits.second_copies")?.unwrap_or(base.second_copies),
         cancelling: fields.flag("limits.cancelling")?.unwrap_or(base.cancelling),
--- a/crates/node/src/config/operator.rs
+++ b/crates/node/src/config/operator.rs
@@ -209,7 +209,9 @@
         (None, Some(file)) => Source::File(folder.join(file)),
         (None, None) => Source::Fixed,
     };
-    let settings = Settings { must_follow: matches!(source, Source::Discovery(_)), ..base.clone() };
+    // Only discovery is asked, and only discovery tells when servers started.
+    let discovered = matches!(source, Source::Discovery(_));
+    let settings = Settings { must_follow: discovered, starts_told: discovered, ..base.clone() };
     Pool { name, source, known: Listing { seq: 0, whole: true, hosts }, settings }
 }
 
--- a/crates/node/src/daemon/change.rs
+++ b/crates/node/src/daemon/change.rs
@@ -114,7 +114,7 @@
 
 /// What holds for all pools alike: where a pool's list comes from tells whether it has to be followed.
 fn without_classes(settings: &Settings) -> Settings {
-    Settings { classes: Vec::new(), must_follow: false, ..settings.clone() }
+    Settings { classes: Vec::new(), must_follow: false, starts_told: true, ..settings.clone() }
 }
 
 #[cfg(test)]
--- a/crates/node/src/daemon/listeners.rs
+++ b/crates/node/src/daemon/listeners.rs
@@ -3,6 +3,7 @@
 use super::change::Change;
 use crate::config::Listener;
 use crate::fronts::http1::{serve, Front};
+use crate::log::log;
 use crate::manager::Passed;
 use crate::stage::Stage;
 use std::error::Error;
@@ -116,7 +117,7 @@
 
     fn begin(&self, name: &str, socket: TcpListener) -> Running {
         if let Ok(address) = socket.local_addr() {
-            eprintln!("node {name} listens on {address}");
+            log!("node {name} listens on {address}");
         }
         let (stage, watched) = watch::channel(Stage::Serving);
         let socket = Rc::new(socket);
--- a/crates/node/src/daemon/mod.rs
+++ b/crates/node/src/daemon/mod.rs
@@ -8,6 +8,7 @@
 
 use crate::config::{operator, platform, Config};
 use crate::handover::{Giver, Successor, Taking};
+use crate::log::log;
 use crate::manager::{Manager, Passed};
 use crate::readiness::Readiness;
 use listeners::{bind, Opened};
@@ -36,7 +37,10 @@
 }
 
 /// Serves until SIGTERM, or until another process has taken over, as an operator's file says.
-pub fn start_from(path: &Path) -> Result<(), Box<dyn Error>> {
+pub fn start_from(path: &Path, with_parent: bool) -> Result<(), Box<dyn Error>> {
+    if with_parent {
+        rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::TERM))?;
+    }
     block_on(within_own_descriptors(operator::load(path)?), Origin::Operator(path.to_owned()))
 }
 
@@ -52,7 +56,7 @@
 fn within_own_descriptors(mut config: Config) -> Config {
     let own = operator::own_descriptors();
     if config.descriptors > own {
-        eprintln!("the system lets this process hold {own} descriptors, not {}", config.descriptors);
+        log!("the system lets this process hold {own} descriptors, not {}", config.descriptors);
         config.descriptors = own;
     }
     config
@@ -142,7 +146,7 @@
             event = given => {
                 let Some(giving) = &mut giving else { continue };
                 if giving.handle(event, &node).await {
-                    eprintln!("node {} has handed over", node.config.name);
+                    log!("node {} has handed over", node.config.name);
                     finish(node, &mut terminate).await;
                     return Ok(());
                 }
@@ -167,7 +171,7 @@
                     Err(error) => Some(error.to_string()),
                 };
                 if let Some(error) = &unusable {
-                    eprintln!("configuration not taken: {error}");
+                    log!("configuration not taken: {error}");
                 }
                 if node.readiness.reached() {
                     match unusable {
@@ -178,7 +182,7 @@
             }
             _ = succeed.recv() => match node.config.hand_over {
                 Some(_) => successor.start(),
-                None => eprintln!("hand-over: the configuration has no [hand_over]"),
+                None => log!("hand-over: the configuration has no [hand_over]"),
             },
             () = successor.ended() => {}
         }
@@ -201,7 +205,7 @@
 }
 
 async fn stop(node: Node, manager: &Manager) -> Result<(), Box<dyn Error>> {
-    eprintln!("node {} is told to stop", node.config.name);
+    log!("node {} is told to stop", node.config.name);
     manager.stopping();
     node.listeners.close().await;
     Ok(())
--- a/crates/node/src/daemon/node.rs
+++ b/crates/node/src/daemon/node.rs
@@ -8,6 +8,7 @@
 use crate::fronts::http1::Front;
 use crate::handover::{Giver, PoolState, State};
 use crate::input::Input;
+use crate::log::log;
 use crate::readiness::Readiness;
 use crate::upstream::Places;
 use std::error::Error;
@@ -126,7 +127,7 @@
 
     /// Goes over to a new configuration, in one step: no request sees part of one and part of the other. Gives the new socket for hand-overs, if there is one.
     pub fn apply(&mut self, Prepared { config, change, places, bound, giver }: Prepared) -> Option<Giver> {
-        eprintln!("configuration read again: {change}");
+        log!("configuration read again: {change}");
         self.upstream.most.set(places);
         self.pools.change(&change, &config);
         self.drivers.send_replace(self.pools.drivers());
--- a/crates/node/src/daemon/succession.rs
+++ b/crates/node/src/daemon/succession.rs
@@ -4,6 +4,7 @@
 use super::node::Node;
 use crate::config::Config;
 use crate::handover::{Giver, Taking, Word};
+use crate::log::log;
 use crate::manager::Manager;
 use decide::handover::{self, GiverAction, GiverEvent, TakerAction, TakerEvent};
 use std::error::Error;
@@ -32,7 +33,7 @@
     let mut bound = Some(bound);
     let readiness = node.readiness.clone();
     let mut prepared =
-        std::pin::pin!(readiness.wait(|pool| eprintln!("waiting for cache servers of pool {pool}")));
+        std::pin::pin!(readiness.wait(|pool| log!("waiting for cache servers of pool {pool}")));
     let mut waits = true;
     loop {
         let mut why = String::new();
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -2,6 +2,7 @@
 
 use crate::input::Input;
 use crate::listing::Listing;
+use crate::log::log;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -117,7 +118,7 @@
                         }
                     }
                     Err(error) => {
-                        eprintln!("discovery: {error}");
+                        log!("discovery: {error}");
                         failures += 1;
                         if self.events.send(Input::ListingFailed).is_err() {
                             return;
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -3,6 +3,7 @@
 
 use crate::input::{Answer, Input, Taken};
 use crate::listing::Listing;
+use crate::log::log;
 use crate::upstream::{Ended, Message, Upstream};
 use decide::{
     Action, Availability, Balancer, Event, Outcome, Request, RequestId, ServerEntry, ServerId, ServerList,
@@ -292,9 +293,9 @@
             }
             Action::Close { server } => self.upstream.close_idle(&server),
             Action::Follow => self.follow.notify_one(),
-            Action::Log(text) => eprintln!("{text}"),
+            Action::Log(text) => log!("{text}"),
             // The module never probes where the settings forbid it, as they do wherever this node runs.
-            Action::Probe { server } => eprintln!("no probe of {server}: this node sends none"),
+            Action::Probe { server } => log!("no probe of {server}: this node sends none"),
         }
     }
 
--- a/crates/node/src/fronts/http1.rs
+++ b/crates/node/src/fronts/http1.rs
@@ -2,6 +2,7 @@
 
 use crate::fronts::table::{Place, Table};
 use crate::input::{Answer, Input, Taken};
+use crate::log::log;
 use crate::readiness::Readiness;
 use crate::stage::Stage;
 use crate::upstream::{Message, OpenIds, IDEMPOTENCY_KEY, LARGEST_BODY, REQ_DEADLINE, REQ_ID};
@@ -150,12 +151,12 @@
         match accepted {
             Ok((stream, slot)) => spawn_connection(stream, slot, &stage, &front),
             Err(error) => {
-                eprintln!("accept: {error}");
+                log!("accept: {error}");
                 sleep(ACCEPT_PAUSE).await;
             }
         }
     }
-    eprintln!("no further clients are accepted");
+    log!("no further clients are accepted");
     // What waits in the machine's queue by now was taken all the same: it is served as places become free.
     for _ in 0..ACCEPT_QUEUE {
         let Ok(slot) = slots.clone().acquire_owned().await else { break };
--- a/crates/node/src/handover/giver.rs
+++ b/crates/node/src/handover/giver.rs
@@ -3,6 +3,7 @@
 use super::link::{Frame, Kind, Link, LinkError, MOST_DESCRIPTORS};
 use super::{Ask, Cancel, Go, Offer, OfferedListener, State};
 use crate::config::{HandOver, Listener};
+use crate::log::log;
 use decide::handover::GiverEvent;
 use rustix::process::geteuid;
 use std::fs::{remove_file, rename, set_permissions, Permissions};
@@ -58,9 +59,9 @@
                         let until = Instant::now() + self.settings.within;
                         self.link = Some(Successor { link: Link::new(stream), asked: false, until });
                     }
-                    Ok(_) => eprintln!("hand-over: refused to a process of another user"),
+                    Ok(_) => log!("hand-over: refused to a process of another user"),
                     Err(error) => {
-                        eprintln!("hand-over: {error}");
+                        log!("hand-over: {error}");
                         sleep(ACCEPT_PAUSE).await;
                     }
                 }
@@ -74,7 +75,7 @@
             match event {
                 Ok(event) if asked => {
                     if event == GiverEvent::Broken {
-                        eprintln!("hand-over: the successor has gone");
+                        log!("hand-over: the successor has gone");
                         self.link = None;
                     }
                     return event;
@@ -82,12 +83,12 @@
                 // It came and said nothing.
                 Ok(_) => self.link = None,
                 Err(error) if asked => {
-                    eprintln!("hand-over: the successor has gone: {error}");
+                    log!("hand-over: the successor has gone: {error}");
                     self.link = None;
                     return GiverEvent::Broken;
                 }
                 Err(error) => {
-                    eprintln!("hand-over: no successor: {error}");
+                    log!("hand-over: no successor: {error}");
                     self.link = None;
                 }
             }
@@ -98,7 +99,7 @@
     pub fn offer(&mut self, listeners: Vec<(Listener, OwnedFd)>, state: &State) {
         let over = listeners.len().saturating_sub(MOST_DESCRIPTORS);
         if over > 0 {
-            eprintln!("hand-over: {over} listeners are too many to pass; the successor opens them itself");
+            log!("hand-over: {over} listeners are too many to pass; the successor opens them itself");
         }
         let (listeners, sockets): (Vec<_>, Vec<_>) = listeners
             .into_iter()
@@ -115,7 +116,7 @@
 
     /// Ends the link, and tells the successor why.
     pub async fn cancel(&mut self, why: &str) {
-        eprintln!("hand-over: {why}; this process goes on");
+        log!("hand-over: {why}; this process goes on");
         if let Some(mut successor) = self.link.take() {
             successor.link.queue(Kind::Cancel, &Cancel { why: why.to_owned() }, Vec::new());
             // One that takes nothing learns by the link's end that it is not wanted.
@@ -151,7 +152,7 @@
     Ok(match frame.kind {
         Kind::Ask => {
             let Ask { program } = frame.read()?;
-            eprintln!("hand-over: asked for by version {program}");
+            log!("hand-over: asked for by version {program}");
             successor.asked = true;
             GiverEvent::Asked
         }
--- a/crates/node/src/handover/mod.rs
+++ b/crates/node/src/handover/mod.rs
@@ -7,7 +7,7 @@
 mod taker;
 
 pub use giver::Giver;
-pub use successor::Successor;
+pub use successor::{program, Successor};
 pub use taker::{Taking, Word};
 
 use crate::listing::Listing;
--- a/crates/node/src/handover/successor.rs
+++ b/crates/node/src/handover/successor.rs
@@ -1,5 +1,6 @@
 //! SIGUSR2: this process starts its own successor, from the program that stands at its path by now.
 
+use crate::log::log;
 use std::ffi::OsString;
 use std::os::unix::ffi::{OsStrExt, OsStringExt};
 use std::path::PathBuf;
@@ -14,7 +15,7 @@
     pub fn start(&mut self) {
         if let Some(child) = &mut self.0 {
             if matches!(child.try_wait(), Ok(None)) {
-                eprintln!("hand-over: a successor is under way already");
+                log!("hand-over: a successor is under way already");
                 return;
             }
         }
@@ -26,10 +27,10 @@
         }
         match command.spawn() {
             Ok(child) => {
-                eprintln!("hand-over: successor {} started", child.id().unwrap_or_default());
+                log!("hand-over: successor {} started", child.id().unwrap_or_default());
                 self.0 = Some(child);
             }
-            Err(error) => eprintln!("hand-over: no successor: {error}"),
+            Err(error) => log!("hand-over: no successor: {error}"),
         }
     }
 
@@ -37,15 +38,15 @@
     pub async fn ended(&mut self) {
         let Some(child) = &mut self.0 else { return std::future::pending().await };
         match child.wait().await {
-            Ok(status) => eprintln!("hand-over: the successor has ended: {status}"),
-            Err(error) => eprintln!("hand-over: the successor is lost: {error}"),
+            Ok(status) => log!("hand-over: the successor has ended: {status}"),
+            Err(error) => log!("hand-over: the successor is lost: {error}"),
         }
         self.0 = None;
     }
 }
 
 /// The path of this program. Linux marks that of one that was replaced since.
-fn program() -> PathBuf {
+pub fn program() -> PathBuf {
     let path =
         std::env::current_exe().unwrap_or_else(|_| std::env::args_os().next().unwrap_or_default().into());
     let bytes = path.as_os_str().as_bytes();
--- a/crates/node/src/handover/taker.rs
+++ b/crates/node/src/handover/taker.rs
@@ -3,6 +3,7 @@
 use super::link::{Frame, Kind, Link, LinkError};
 use super::{Ask, Cancel, Go, Offer, State};
 use crate::config::{HandOver, Listener};
+use crate::log::log;
 use std::io;
 use std::net::TcpListener;
 use thiserror::Error;
@@ -78,7 +79,7 @@
             Ok(Some(frame)) => Word::Cancelled(reason(&frame)),
             Ok(None) => Word::Broken,
             Err(error) => {
-                eprintln!("hand-over: {error}");
+                log!("hand-over: {error}");
                 Word::Broken
             }
         }
@@ -111,7 +112,7 @@
 
 fn state_of(value: serde_json::Value) -> Option<State> {
     State::read(value)
-        .inspect_err(|error| eprintln!("hand-over: starting without what the other process knew: {error}"))
+        .inspect_err(|error| log!("hand-over: starting without what the other process knew: {error}"))
         .ok()
 }
 
--- a/crates/node/src/list_file.rs
+++ b/crates/node/src/list_file.rs
@@ -2,6 +2,7 @@
 
 use crate::config::operator::{list_text, read_list};
 use crate::input::Input;
+use crate::log::log;
 use std::path::PathBuf;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
@@ -40,6 +41,6 @@
 }
 
 fn log(error: &str, seq: u64) {
-    eprintln!("{error}");
-    eprintln!("list not taken; {}", if seq == 0 { "there is none yet" } else { "the one before holds" });
+    log!("{error}");
+    log!("list not taken; {}", if seq == 0 { "there is none yet" } else { "the one before holds" });
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -4,11 +4,13 @@
 mod daemon;
 mod discovery;
 mod driver;
+mod fleet;
 mod fronts;
 mod handover;
 mod input;
 mod list_file;
 mod listing;
+mod log;
 mod manager;
 mod readiness;
 mod rehearse;
@@ -36,7 +38,12 @@
         /// The file
         #[arg(long)]
         config: PathBuf,
+        /// Ends when the process that started it does
+        #[arg(long)]
+        with_parent: bool,
     },
+    /// Keeps many instances of one file going, for trials
+    Fleet(fleet::Arguments),
     /// Says all that is wrong with an operator's file, or what holds, defaults and all
     Check {
         /// The file
@@ -53,7 +60,8 @@
     match Arguments::parse().command {
         Some(Command::Rehearse(arguments)) => rehearse::run(arguments),
         Some(Command::Check { file }) => check(&file),
-        Some(Command::Run { config }) => served(daemon::start_from(&config)),
+        Some(Command::Run { config, with_parent }) => served(daemon::start_from(&config, with_parent)),
+        Some(Command::Fleet(arguments)) => fleet::run(arguments),
         None => served(daemon::start()),
     }
 }
--- a/crates/node/src/manager.rs
+++ b/crates/node/src/manager.rs
@@ -2,6 +2,7 @@
 //! (sd_listen_fds(3)). Without one, nothing is told and nobody is asked.
 
 use crate::input::Input;
+use crate::log::log;
 use listenfd::ListenFd;
 use sd_notify::NotifyState;
 use std::net::TcpListener;
@@ -83,7 +84,7 @@
                 // One line for each time that it goes away.
                 if let Err(error) = &told {
                     if !failed {
-                        eprintln!("the service manager is not told: {error}");
+                        log!("the service manager is not told: {error}");
                     }
                 }
                 failed = told.is_err();
@@ -92,7 +93,7 @@
         match telling {
             Ok(_) => Self(Some(Words { sender, alive })),
             Err(error) => {
-                eprintln!("the service manager is not told: {error}");
+                log!("the service manager is not told: {error}");
                 Self(None)
             }
         }
--- /dev/null
+++ b/crates/node/tests/fleet.rs
@@ -0,0 +1,245 @@
+//! `pinhead fleet`: real instances, kept going, rolled, drained and stopped.
+
+mod common;
+
+use common::{command, read, wait_for, CacheServer, Client, Folder, PATIENCE};
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, ChildStdin, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+const CLASS: &str = "[[class]]\nname = \"read\"\neffect = \"safe\"\naim = \"5s\"\ndeadline = \"20s\"\n";
+
+/// A running fleet; it is killed with the test.
+struct Fleet {
+    child: Child,
+    said: ChildStdin,
+    shown: Arc<Mutex<Vec<String>>>,
+    log: Arc<Mutex<Vec<String>>>,
+    first: SocketAddr,
+    folder: Folder,
+    text: String,
+}
+
+fn lines(from: impl std::io::Read + Send + 'static) -> Arc<Mutex<Vec<String>>> {
+    let lines: Arc<Mutex<Vec<String>>> = Arc::default();
+    let kept = lines.clone();
+    std::thread::spawn(move || {
+        BufReader::new(from).lines().map_while(Result::ok).for_each(|line| kept.lock().unwrap().push(line));
+    });
+    lines
+}
+
+/// The first of so many ports in a row that nobody listens on.
+fn free_ports(count: u16) -> SocketAddr {
+    loop {
+        let first = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let Some(last) = first.port().checked_add(count) else { continue };
+        if (first.port()..last).all(|port| TcpListener::bind(("127.0.0.1", port)).is_ok()) {
+            return first;
+        }
+    }
+}
+
+impl Fleet {
+    fn start(server: &CacheServer, instances: u16) -> Self {
+        let (folder, first) = (Folder::new(), free_ports(instances));
+        let text = format!(
+            "version = 1\nname = \"n\"\n[[listener]]\nname = \"clients\"\naddress = \"{first}\"\n[[pool]]\nname = \"p\"\n\
+             [[pool.server]]\nname = \"box\"\naddress = \"{}\"\n{CLASS}",
+            server.address
+        );
+        let config = folder.write("pinhead.toml", &text);
+        let own = folder.0.join("fleet");
+        let mut command = command();
+        command.arg("fleet").arg("--instances").arg(instances.to_string()).arg("--config").arg(config);
+        command.arg("--folder").arg(own).stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        let said = child.stdin.take().unwrap();
+        let shown = lines(child.stdout.take().unwrap());
+        let log = lines(child.stderr.take().unwrap());
+        let fleet = Self { child, said, shown, log, first, folder, text };
+        wait_for("all instances", || fleet.logged(" serves") == usize::from(instances));
+        fleet
+    }
+
+    fn say(&mut self, command: &str) {
+        writeln!(self.said, "{command}").unwrap();
+    }
+
+    fn logged(&self, words: &str) -> usize {
+        self.log.lock().unwrap().iter().filter(|line| line.contains(words)).count()
+    }
+
+    fn address(&self, instance: u16) -> SocketAddr {
+        SocketAddr::new(self.first.ip(), self.first.port() + instance)
+    }
+
+    fn read(&self, instance: u16, class: &str) -> u16 {
+        Client::to(self.address(instance)).ask(&read(class, 1, 20_000)).status()
+    }
+
+    /// Each instance's row: state, process, ends by itself, upgrades.
+    fn state(&mut self) -> Vec<[String; 4]> {
+        let before = self.shown.lock().unwrap().len();
+        self.say("state");
+        let rows = |shown: &[String]| {
+            shown[before..]
+                .iter()
+                .filter(|line| line.starts_with("| n-"))
+                .map(|line| line.split('|').map(str::trim).map(str::to_owned).collect::<Vec<_>>())
+                .map(|cells| [2, 3, 5, 6].map(|cell| cells[cell].clone()))
+                .collect::<Vec<_>>()
+        };
+        let start = Instant::now();
+        loop {
+            let found = rows(&self.shown.lock().unwrap());
+            if found.len() == 3 {
+                return found;
+            }
+            assert!(start.elapsed() < PATIENCE, "{found:?}");
+            std::thread::sleep(std::time::Duration::from_millis(5));
+        }
+    }
+
+    fn states(&mut self) -> Vec<String> {
+        self.state().into_iter().map(|[state, ..]| state).collect()
+    }
+
+    fn exit(&mut self) -> std::process::ExitStatus {
+        let mut status = None;
+        wait_for("the fleet's end", || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        });
+        status.unwrap()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("{}", self.log.lock().unwrap().join("\n"));
+        }
+        // Its instances end with it.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn kill(process: &str) {
+    assert!(Command::new("kill").args(["-KILL", process]).status().unwrap().success());
+}
+
+#[test]
+fn instances_are_kept_going_and_stop_with_the_fleet() {
+    let server = CacheServer::serving("a");
+    let mut fleet = Fleet::start(&server, 3);
+    assert_eq!([0, 1, 2].map(|instance| fleet.read(instance, "read")), [200; 3]);
+    assert_eq!(fleet.states(), ["serving"; 3]);
+    let before = fleet.state();
+    kill(&before[1][1]);
+    wait_for("the next process", || fleet.logged("instance 1: process 3 serves") == 1);
+    let after = fleet.state();
+    assert_eq!((after[1][2].as_str(), after[1][0].as_str()), ("1", "serving"));
+    assert_eq!((&after[0], &after[2]), (&before[0], &before[2]));
+    assert_eq!(fleet.read(1, "read"), 200);
+    fleet.say("stop");
+    assert!(fleet.exit().success());
+    assert!((0..3).all(|instance| TcpStream::connect(fleet.address(instance)).is_err()));
+}
+
+#[test]
+fn a_roll_replaces_every_instance_under_load_and_no_client_notices() {
+    let server = CacheServer::serving("a");
+    let mut fleet = Fleet::start(&server, 3);
+    let over = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = (0..3_u16)
+        .map(|instance| {
+            let (over, address) = (over.clone(), fleet.address(instance));
+            std::thread::spawn(move || {
+                let mut answers = 0;
+                while !over.load(Ordering::SeqCst) {
+                    let answer =
+                        Client::to(address).ask(&read("read", (u64::from(instance) << 32) + answers, 20_000));
+                    assert_eq!(answer.status(), 200);
+                    answers += 1;
+                    // Each connection holds a port of the machine's for a while after its end.
+                    std::thread::sleep(std::time::Duration::from_millis(2));
+                }
+                answers
+            })
+        })
+        .collect();
+    for rolls in 1..=2 {
+        fleet.say("roll");
+        wait_for("the roll", || fleet.logged("has taken over") == 3 * rolls);
+    }
+    over.store(true, Ordering::SeqCst);
+    let answers: u64 = clients.into_iter().map(|client| client.join().unwrap()).sum();
+    assert_eq!(server.count() as u64, answers);
+    let upgrades: Vec<_> =
+        fleet.state().into_iter().map(|[.., failures, upgrades]| (failures, upgrades)).collect();
+    assert_eq!(upgrades, vec![("0".to_owned(), "2".to_owned()); 3]);
+}
+
+#[test]
+fn one_instance_is_drained_and_started_again_and_a_reload_reaches_all() {
+    let server = CacheServer::serving("a");
+    let mut fleet = Fleet::start(&server, 3);
+    fleet.say("drain 1");
+    wait_for("its end", || TcpStream::connect(fleet.address(1)).is_err());
+    wait_for("its state", || fleet.states() == ["serving", "stopped", "serving"]);
+    assert_eq!((fleet.read(0, "read"), fleet.read(2, "read")), (200, 200));
+    fleet.say("start 1");
+    wait_for("its start", || fleet.logged("instance 1: process 3 serves") == 1);
+    assert_eq!(fleet.read(1, "read"), 200);
+    fleet.folder.write("pinhead.toml", &fleet.text.replace("safe", "odd"));
+    fleet.say("reload");
+    wait_for("a word of the fault", || fleet.logged("configuration not taken: ") == 1);
+    assert_eq!(fleet.read(0, "read"), 200);
+    let more = format!("{}[[class]]\nname = \"new\"\neffect = \"safe\"\n", fleet.text);
+    fleet.folder.write("pinhead.toml", &more);
+    fleet.say("reload");
+    wait_for("all to read it", || fleet.logged("configuration read again: class new added") == 3);
+    assert_eq!([0, 1, 2].map(|instance| fleet.read(instance, "new")), [200; 3]);
+    fleet.say("sing");
+    wait_for("a word of it", || fleet.logged("expected one of state, roll, reload") == 1);
+}
+
+#[test]
+fn instances_end_with_a_fleet_that_is_killed() {
+    let server = CacheServer::serving("a");
+    let mut fleet = Fleet::start(&server, 3);
+    fleet.child.kill().unwrap();
+    fleet.child.wait().unwrap();
+    for instance in 0..3 {
+        wait_for("an instance's end", || TcpStream::connect(fleet.address(instance)).is_err());
+    }
+}
+
+#[test]
+fn a_file_that_makes_no_fleet_is_named_and_nothing_is_started() {
+    let folder = Folder::new();
+    let rest = format!("[[pool]]\nname = \"p\"\ndiscovery = \"127.0.0.1:1\"\n{CLASS}");
+    let listener =
+        |name: &str, port: u16| format!("[[listener]]\nname = \"{name}\"\naddress = \"127.0.0.1:{port}\"\n");
+    for (listeners, why) in [
+        (listener("a", 65_534), "listener a: there is no port 65536 for instance 2"),
+        (
+            listener("a", 7_000) + &listener("b", 7_002),
+            "127.0.0.1:7002 would be the address of two listeners",
+        ),
+        (listener("a", 7_000).replace("address", "adress"), "adress: unknown key"),
+    ] {
+        let config = folder.write("pinhead.toml", &format!("version = 1\n{listeners}{rest}"));
+        let mut command = command();
+        command.args(["fleet", "--instances", "3", "--config"]).arg(config).stdin(Stdio::null());
+        let ended = common::ended(command);
+        let said = String::from_utf8(ended.stderr).unwrap();
+        assert!(ended.status.code() == Some(2) && said.contains(why), "{why}: {said}");
+        assert!(!said.contains("started"), "{said}");
+    }
+}
--- a/crates/rig/src/live/mod.rs
+++ b/crates/rig/src/live/mod.rs
@@ -403,6 +403,8 @@
                 }
             }
             Change::Forget { seat } => world.state.borrow().forgotten[seat].set(Some(Instant::now())),
+            Change::UpgradeNode { node } => drop(spawn_local(node::upgrade(world.clone(), node))),
+            Change::ReloadNode { node } => node::reload(&world, node),
             Change::RestartNode { node, killed, down } => {
                 spawn_local(node::restart(world.clone(), node, killed, down));
             }
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -171,6 +171,10 @@
             format!("{} replaced, {} at a time", part(*share), part(*batch))
         }
         Trouble::RestartNodes { share, killed: true, .. } => format!("{} of the nodes killed", part(*share)),
+        Trouble::Upgrade { share, .. } => format!("{} of the nodes upgraded", part(*share)),
+        Trouble::Reload { share, times } => {
+            format!("{} of the nodes reload, {times} times each", part(*share))
+        }
         Trouble::RestartNodes { share, .. } => format!("{} of the nodes restarted", part(*share)),
         Trouble::Crash { share } => format!("{} of the boxes dead", part(*share)),
         Trouble::Vanish { share } => format!("{} of the boxes cut off", part(*share)),
--- a/crates/rig/src/scenarios.rs
+++ b/crates/rig/src/scenarios.rs
@@ -26,9 +26,13 @@
     "failing-switch",
     "slow-origin",
     "discovery-away",
+    "rolling-upgrade",
     "deploy-while-hot",
     "shrink-and-slow-origin",
     "restarts-after-crash",
+    "reload-storm",
+    "mass-restart",
+    "power-cut",
 ];
 
 /// What is played where nothing is named: a part of everything.
--- a/crates/rig/src/script/file.rs
+++ b/crates/rig/src/script/file.rs
@@ -198,10 +198,12 @@
     }
 }
 
-const KINDS: [&str; 15] = [
+const KINDS: [&str; 17] = [
     "shrink",
     "deploy",
     "restart-nodes",
+    "upgrade",
+    "reload",
     "crash",
     "vanish",
     "pause",
@@ -255,6 +257,10 @@
             down: t.time("down", INSTANT).unwrap_or(Duration::from_secs(1)),
             killed: t.flag("killed").unwrap_or(false),
         },
+        "upgrade" => Trouble::Upgrade { share: share(), batch: batch() },
+        "reload" => {
+            Trouble::Reload { share: share(), times: t.count("times", 1..=10_000).map_or(1, |n| n as u32) }
+        }
         "crash" => Trouble::Crash { share: share() },
         "vanish" => Trouble::Vanish { share: share() },
         "pause" => Trouble::Pause { share: share() },
--- a/crates/rig/src/script/mod.rs
+++ b/crates/rig/src/script/mod.rs
@@ -258,6 +258,20 @@
         /// Killed outright rather than told to stop.
         killed: bool,
     },
+    /// A share of the nodes hands over to new processes, batch by batch.
+    Upgrade {
+        /// How much in all.
+        share: f64,
+        /// How much at a time.
+        batch: f64,
+    },
+    /// A share of the nodes is told again and again, evenly over the time, to read a configuration that has changed.
+    Reload {
+        /// How much.
+        share: f64,
+        /// How often each.
+        times: u32,
+    },
     /// A share dies at once and comes back cold when the time is over.
     Crash {
         /// How much.
@@ -339,6 +353,14 @@
     pub worst_class: Option<f64>,
 }
 
+impl Script {
+    /// Whether something in it is done by an operator: nodes then run from an operator's file, and not the platform's.
+    pub fn operated(&self) -> bool {
+        let of_operators = |what: &Trouble| matches!(what, Trouble::Upgrade { .. } | Trouble::Reload { .. });
+        self.incidents.iter().any(|incident| of_operators(&incident.what))
+    }
+}
+
 const fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
 }
--- a/crates/rig/src/simulate/mod.rs
+++ b/crates/rig/src/simulate/mod.rs
@@ -22,7 +22,8 @@
 use crate::timeline::{changes, Change, Condition};
 use crate::world::{CacheServer, Origin};
 use decide::{
-    Action, Availability, Balancer, Event, LoadReport, ServerEntry, ServerId, Settings, Status, Timestamp,
+    Action, Availability, Balancer, Event, Knowledge, LoadReport, ServerEntry, ServerId, Settings, Status,
+    Timestamp,
 };
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -46,12 +47,21 @@
 pub trait Decide {
     /// Takes in what happened and appends what the node must do.
     fn handle(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>);
+
+    /// What a successor is told; `None` where there is nothing to tell.
+    fn knowledge(&self, _now: Timestamp) -> Option<Knowledge> {
+        None
+    }
 }
 
 impl Decide for Balancer {
     fn handle(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
         Balancer::handle(self, now, event, actions);
     }
+
+    fn knowledge(&self, now: Timestamp) -> Option<Knowledge> {
+        Some(Balancer::knowledge(self, now))
+    }
 }
 
 /// What a play came to, beside the judge's word.
@@ -174,6 +184,8 @@
 struct Node {
     zone: usize,
     decide: Box<dyn Decide>,
+    /// How often it has read its configuration again. Every other one has the classes the other way round.
+    reloads: u32,
     /// Counts its starts: what was meant for an earlier life is dropped.
     life: u32,
     up: bool,
@@ -338,6 +350,7 @@
             play.nodes.push(Node {
                 zone,
                 decide,
+                reloads: 0,
                 life: 0,
                 up: false,
                 leaving: false,
@@ -485,6 +498,8 @@
                 }
             }
             Change::Forget { seat } => self.forgotten[seat] = Some(self.now),
+            Change::UpgradeNode { node } => self.upgrade(node),
+            Change::ReloadNode { node } => self.reload(node),
             Change::RestartNode { node, killed, down } => self.restart(node, killed, down),
             Change::Origin { factor } => self.origin.slow_down(factor),
             Change::Discovery { up } => self.discovery(up),
--- a/crates/rig/src/simulate/nodes.rs
+++ b/crates/rig/src/simulate/nodes.rs
@@ -7,6 +7,7 @@
 use crate::ledger::{Answer, Fact};
 use decide::{Action, ClassId, Event, Request, RequestId, Status};
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 impl Play<'_> {
@@ -37,7 +38,7 @@
         let class_settings = &self.script.classes[class];
         let event = Event::Request(Request {
             id: request_id(request),
-            class: Some(ClassId(class)),
+            class: Some(ClassId(self.class_id(node, class))),
             tenant: None,
             key: Some(self.asks[ask].0.key_number()),
             valid_until,
@@ -143,6 +144,7 @@
         let decide = (self.make)(settings, self.draw.on(zone).on(u64::from(life)).bits());
         let state = &mut self.nodes[node];
         (state.decide, state.life, state.up, state.leaving) = (decide, life, true, false);
+        state.reloads = 0;
         (state.seq, state.calling, state.watching, state.failures) = (None, false, false, 0);
         let list: Vec<_> = state.list.values().cloned().collect();
         self.ledger.note(Fact::Started { node });
@@ -150,6 +152,36 @@
         self.front(node, true);
     }
 
+    /// What the next process is told comes back as it would there. What is out stays with the decisions that sent it.
+    pub(super) fn upgrade(&mut self, node: usize) {
+        if !self.nodes[node].up || self.nodes[node].leaving {
+            return;
+        }
+        if let Some(known) = self.nodes[node].decide.knowledge(self.now) {
+            self.decide(node, Event::Recalled(Arc::new(known)));
+        }
+    }
+
+    pub(super) fn reload(&mut self, node: usize) {
+        if !self.nodes[node].up {
+            return;
+        }
+        self.nodes[node].reloads += 1;
+        let mut settings = fleet::settings(self.script, self.nodes[node].zone);
+        if self.nodes[node].reloads % 2 == 1 {
+            settings.classes.reverse();
+        }
+        self.decide(node, Event::Reconfigured(settings));
+    }
+
+    /// Where a class of the script's stands in the node's configuration.
+    fn class_id(&self, node: usize, class: usize) -> usize {
+        match self.nodes[node].reloads % 2 {
+            0 => class,
+            _ => self.script.classes.len() - 1 - class,
+        }
+    }
+
     pub(super) fn restart(&mut self, node: usize, killed: bool, down: Duration) {
         if !self.nodes[node].up || self.nodes[node].leaving {
             return;
--- a/crates/rig/src/timeline.rs
+++ b/crates/rig/src/timeline.rs
@@ -60,6 +60,16 @@
         /// From its end to its start.
         down: Duration,
     },
+    /// Another process takes a node's place, and what it knows.
+    UpgradeNode {
+        /// Which.
+        node: usize,
+    },
+    /// A node's configuration changes, and it is told to read it again.
+    ReloadNode {
+        /// Which.
+        node: usize,
+    },
     /// The origin takes longer by this factor.
     Origin {
         /// The factor; 1 is usual.
@@ -309,6 +319,22 @@
                     }
                 }
             }
+            Trouble::Upgrade { share, batch } => {
+                let nodes = script.nodes as usize;
+                for (at, batch) in batches(pick(nodes, share), nodes, batch, at, over) {
+                    for node in batch {
+                        add(at, Step::Plain(Change::UpgradeNode { node }));
+                    }
+                }
+            }
+            Trouble::Reload { share, times } => {
+                for node in pick(script.nodes as usize, share) {
+                    for turn in 0..times {
+                        let at = at + over.mul_f64(f64::from(turn) / f64::from(times));
+                        add(at, Step::Plain(Change::ReloadNode { node }));
+                    }
+                }
+            }
             Trouble::Crash { share } => {
                 for seat in pick(seats, share) {
                     add(at, Step::Die { seat });
--- a/crates/rig/tests/properties.rs
+++ b/crates/rig/tests/properties.rs
@@ -44,6 +44,8 @@
         }),
         (share(), batch(), drain(), any::<bool>())
             .prop_map(|(share, batch, down, killed)| Trouble::RestartNodes { share, batch, down, killed }),
+        (share(), 0.1..1.0).prop_map(|(share, batch)| Trouble::Upgrade { share, batch }),
+        (share(), 1..20_u32).prop_map(|(share, times)| Trouble::Reload { share, times }),
         share().prop_map(|share| Trouble::Crash { share }),
         share().prop_map(|share| Trouble::Vanish { share }),
         share().prop_map(|share| Trouble::Pause { share }),
