--- a/crates/node/tests/rehearse.rs
+++ b/crates/node/tests/rehearse.rs
@@ -141,11 +141,28 @@
     [[incident]]\nkind = \"half-open\"\nat = \"2s\"\nover = \"1s\"\nshare = 1.0\n\
     [[incident]]\nkind = \"delay\"\nat = \"3s\"\nover = \"1s\"\nshare = 0.5\nextra = \"5ms\"\n";
 
+/// Twenty instances: a box that comes back cold, all of them told to read their files again and again, and replaced by
+/// hand-over meanwhile; then all killed at once.
+const FLEET: &str = "version = 1\nname = \"fleet\"\nlength = \"8s\"\nnodes = 20\n[load]\nrate = 100\n\
+    [[incident]]\nkind = \"crash\"\nat = \"500ms\"\nover = \"1s\"\nshare = 0.05\n\
+    [[incident]]\nkind = \"reload\"\nat = \"1s\"\nover = \"4s\"\nshare = 1.0\ntimes = 5\n\
+    [[incident]]\nkind = \"upgrade\"\nat = \"1500ms\"\nover = \"4s\"\nshare = 1.0\nbatch = 0.1\n\
+    [[incident]]\nkind = \"restart-nodes\"\nat = \"7s\"\nover = \"0s\"\nshare = 1.0\nbatch = 1.0\ndown = \"100ms\"\nkilled = true\n";
+
 // The daemon itself, with nodes that are killed and told to stop, servers that drain, go and are cut off, and a network
 // that loses packets, tears connections and forgets them.
 #[test]
 fn the_daemon_keeps_the_rules_on_sockets_or_the_play_says_that_it_is_void() {
-    let file = File::new("rough.toml", ROUGH);
+    keeps_the_rules("rough.toml", ROUGH);
+}
+
+#[test]
+fn twenty_daemons_that_reload_hand_over_and_start_together_keep_the_rules_on_sockets() {
+    keeps_the_rules("fleet.toml", FLEET);
+}
+
+fn keeps_the_rules(name: &str, script: &str) {
+    let file = File::new(name, script);
     let arguments = ["rehearse", file.path(), "--player=sockets", "--json"];
     let play = || Command::new(env!("CARGO_BIN_EXE_pinhead")).args(arguments).output().unwrap();
     let void = |played: &Output| played.status.code() == Some(3);
