Let two tests of changed settings fail where their code is gone

Change: the breaker for requests of no class is looked at where others take these too, and a list that has to be asked for again after another source in between.

--- a/crates/decide/tests/reconfigure.rs
+++ b/crates/decide/tests/reconfigure.rs
@@ -136,13 +136,22 @@
     let home = node.call(7, Status::Ok).expect("sent");
     let out: Vec<_> = (0..6).map(|_| node.request(1, 7, ms(400))).collect();
     node.reconfigure(with_classes(&[0]));
+    // The other server takes requests of no class: where none did, none would be better.
+    let elsewhere = (0..).find(|&key| node.call(key, Status::Ok).is_some_and(|server| server != home));
+    let unnamed = |node: &mut Node, id: &str, key| {
+        let request = Request { key, ..Request::new(id, node.now + ms(400)) };
+        node.submit(request)
+    };
+    for number in 0..4 {
+        let id = unnamed(&mut node, &format!("other {number}"), elsewhere);
+        node.answer(&id, Status::Ok);
+    }
     for id in &out {
         if node.out(id).is_some_and(|(_, server)| server == home) {
             node.answer(id, Status::QueueFull);
         }
     }
-    let unnamed = Request { key: Some(7), ..Request::new("unnamed", node.now + ms(400)) };
-    let id = node.submit(unnamed);
+    let id = unnamed(&mut node, "unnamed", Some(7));
     assert_eq!(node.out(&id).expect("sent").1, home, "the breaker for requests of no class is closed");
 }
 
@@ -152,7 +161,10 @@
     let asks = |actions: Vec<Action>| actions.iter().filter(|action| **action == Action::Follow).count();
     let following = Settings { must_follow: true, ..settings() };
     assert_eq!(asks(node.feed(Event::Reconfigured(following.clone()))), 1);
-    assert_eq!(asks(node.feed(Event::Reconfigured(following))), 0);
+    assert_eq!(asks(node.feed(Event::Reconfigured(following.clone()))), 0);
+    // From another source in between, it has to be asked for again.
+    assert_eq!(asks(node.feed(Event::Reconfigured(settings()))), 0);
+    assert_eq!(asks(node.feed(Event::Reconfigured(following))), 1);
 }
 
 // Guards against equal events that give other actions after a change of settings.
