Keep two connections of a removed pool in its test, so that a driver left behind shows

Need: with the retirement of a pool's driver taken out the test still passed, since a connection that served one request is closed in any case.

Change: two requests are out when the pool goes.

--- a/crates/node/tests/reload.rs
+++ b/crates/node/tests/reload.rs
@@ -106,14 +106,17 @@
     let ((old, gate), new) = (CacheServer::gated("old"), CacheServer::serving("new"));
     let folder = Folder::new();
     let node = run(&folder, &file(&[&pool("p", &[&old]), &safe("read")]));
-    let out = asking(&node, "read", 1);
-    wait_for("the request", || old.count() == 1);
+    // Two: a connection that served one alone would not be kept in any case.
+    let out = [1, 2].map(|key| asking(&node, "read", key));
+    wait_for("both requests", || old.count() == 2);
     node.reconfigure(&file(&[&pool("q", &[&new]), &safe("read")]));
-    assert_eq!(node.read("read", 2).body, b"new");
+    assert_eq!(node.read("read", 3).body, b"new");
     gate.open();
-    assert_eq!(out.join().unwrap(), (200, b"old".to_vec()));
-    wait_for("the old pool's connections to close", || old.closed.load(Ordering::SeqCst) == 1);
-    assert_eq!((old.count(), node.get("/healthz").status()), (1, 200));
+    for asked in out {
+        assert_eq!(asked.join().unwrap(), (200, b"old".to_vec()));
+    }
+    wait_for("the old pool's connections to close", || old.closed.load(Ordering::SeqCst) == 2);
+    assert_eq!((old.count(), node.get("/healthz").status()), (2, 200));
 }
 
 // Guards against a pool that is begun anew because its list comes from elsewhere now: what is out would be lost.
