Mend what a second reading of the hand-over found: last words, a lost socket, early stops

Need: a process that had taken over ended if it could not make its own hand-over socket, with clients on it. A successor that was stopped before it served told the manager of a stop, which is the service's. The manager was told whom to mind by a successor that might still be sent away, and perhaps after the old process had ended.

Change: such a process serves on and says so; a successor tells of no stop; the old process names the successor before it lets go and waits until that is told, a second at the most. The pause is tested by who accepts, a removed pool with connections that no idleness closes: it was that which closed them.

--- a/crates/node/src/daemon/mod.rs
+++ b/crates/node/src/daemon/mod.rs
@@ -92,24 +92,34 @@
     };
     let bound = bind(&config.listeners, 0..config.listeners.len(), &mut opened).await?;
     let mut node = Node::start(config, places, known);
-    let taken = match taking {
-        Some(taking) => succession::take(&mut node, taking, bound, &manager, &mut signals.terminate).await?,
+    let socket = node.config.hand_over.clone();
+    let giver = match taking {
+        // Nobody is there yet: where there can be no socket, nothing is taken.
         None => {
+            let giver = socket.map(Giver::bind).transpose();
+            let giver = giver.map_err(|error| format!("hand_over.socket: {error}"))?;
             node.listen(bound);
-            Taken::Owned
+            giver
         }
-    };
-    match taken {
-        Taken::Owned => {}
-        Taken::Terminated => return stop(node, &manager).await,
-        Taken::Withdrawn(why) => {
-            finish(node, &mut signals.terminate).await;
-            return Err(why.into());
+        Some(taking) => {
+            let terminate = &mut signals.terminate;
+            match succession::take(&mut node, taking, bound, &manager, terminate).await? {
+                Taken::Owned => {}
+                // The service's manager is told nothing: the process that serves may go on.
+                Taken::Terminated => {
+                    node.listeners.close().await;
+                    return Ok(());
+                }
+                Taken::Withdrawn(why) => {
+                    finish(node, terminate).await;
+                    return Err(why.into());
+                }
+            }
+            // What another process used until now is this one's, which has clients by now: it serves on without.
+            let bound = socket.map(Giver::bind).transpose();
+            bound.inspect_err(|error| log!("hand-over: nobody can take over: {error}")).unwrap_or_default()
         }
-    }
-    // What another process used until now is this one's: its place is taken in one step.
-    let giver = node.config.hand_over.clone().map(Giver::bind).transpose();
-    let giver = giver.map_err(|error| format!("hand_over.socket: {error}"))?;
+    };
     spawn_local(tell_ready(manager.clone(), node.readiness.clone()));
     spawn_local(manager.clone().keep_watchdog(node.drivers.subscribe()));
     serve(node, giver.map(Giving::new), &manager, &origin, signals).await
@@ -145,9 +155,10 @@
             _ = terminate.recv() => break,
             event = given => {
                 let Some(giving) = &mut giving else { continue };
-                if giving.handle(event, &node).await {
+                if giving.handle(event, &node, manager).await {
                     log!("node {} has handed over", node.config.name);
                     finish(node, &mut terminate).await;
+                    manager.told().await;
                     return Ok(());
                 }
             }
--- a/crates/node/src/daemon/succession.rs
+++ b/crates/node/src/daemon/succession.rs
@@ -62,10 +62,13 @@
                 TakerAction::SayReady => taking.say_ready(),
                 TakerAction::Accept => {
                     bound.take().into_iter().for_each(|bound| node.listen(bound));
-                    manager.main();
                 }
                 TakerAction::SayTaken => taking.say_taken(),
-                TakerAction::Own => return Ok(Taken::Owned),
+                // Not before: a successor that may still be sent away is not the one to mind.
+                TakerAction::Own => {
+                    manager.main(std::process::id());
+                    return Ok(Taken::Owned);
+                }
                 TakerAction::Withdraw => return Ok(Taken::Withdrawn(why)),
                 TakerAction::End => return Err(why.into()),
             }
@@ -96,7 +99,7 @@
     }
 
     /// Takes in what happened. Whether another process serves from here on.
-    pub async fn handle(&mut self, event: GiverEvent, node: &Node) -> bool {
+    pub async fn handle(&mut self, event: GiverEvent, node: &Node, manager: &Manager) -> bool {
         let mut given = false;
         for action in self.machine.handle(event) {
             match action {
@@ -114,6 +117,8 @@
                 GiverAction::Resume => node.listeners.resume(),
                 GiverAction::Cancel => self.giver.cancel(why(event)).await,
                 GiverAction::Leave => {
+                    // It must hear of the successor before this process ends, or the service would have ended with it.
+                    self.giver.successor().into_iter().for_each(|process| manager.main(process));
                     self.giver.close();
                     given = true;
                 }
--- a/crates/node/src/handover/giver.rs
+++ b/crates/node/src/handover/giver.rs
@@ -95,6 +95,11 @@
         }
     }
 
+    /// The process at the other end.
+    pub fn successor(&self) -> Option<u32> {
+        self.link.as_ref()?.link.process()
+    }
+
     /// Sends sockets, each beside its listener, and what is known.
     pub fn offer(&mut self, listeners: Vec<(Listener, OwnedFd)>, state: &State) {
         let over = listeners.len().saturating_sub(MOST_DESCRIPTORS);
--- a/crates/node/src/handover/link.rs
+++ b/crates/node/src/handover/link.rs
@@ -98,6 +98,11 @@
         Self { stream, out: VecDeque::new(), read: Vec::new(), descriptors: Vec::new() }
     }
 
+    /// The process at the other end, where the system tells it.
+    pub fn process(&self) -> Option<u32> {
+        self.stream.peer_cred().ok()?.pid()?.try_into().ok()
+    }
+
     /// Sends a frame as [`Link::next`] and [`Link::flush`] get on.
     pub fn queue(&mut self, kind: Kind, text: &impl Serialize, descriptors: Vec<OwnedFd>) {
         // What is sent are structures of texts and numbers: each of them can be written.
--- a/crates/node/src/manager.rs
+++ b/crates/node/src/manager.rs
@@ -15,11 +15,17 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::{interval, timeout, MissedTickBehavior};
 
+/// How long a process that ends waits until its last words are told.
+const LAST_WORDS: Duration = Duration::from_secs(1);
+
 /// A word for the manager.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 enum Word {
     Ready,
-    Main,
+    /// This is the process to mind.
+    Main(u32),
+    /// All that came before is told: whoever asks hears of it.
+    Told(oneshot::Sender<()>),
     Reloading,
     Stopping,
     Alive,
@@ -68,9 +74,15 @@
         let telling = std::thread::Builder::new().name("manager".into()).spawn(move || {
             let mut failed = false;
             for word in words {
+                if let Word::Told(answer) = word {
+                    // Whoever asked may have waited long enough.
+                    let _ = answer.send(());
+                    continue;
+                }
                 let told = match &word {
+                    Word::Told(_) => Ok(()),
                     Word::Ready => sd_notify::notify(&[NotifyState::Ready]),
-                    Word::Main => sd_notify::notify(&[NotifyState::MainPid(std::process::id())]),
+                    Word::Main(process) => sd_notify::notify(&[NotifyState::MainPid(*process)]),
                     Word::Reloading => NotifyState::monotonic_usec_now()
                         .and_then(|now| sd_notify::notify(&[NotifyState::Reloading, now])),
                     Word::Stopping => sd_notify::notify(&[NotifyState::Stopping]),
@@ -101,7 +113,7 @@
 
     fn tell(&self, word: Word) {
         if let Some(words) = &self.0 {
-            if word == Word::Alive && words.alive.swap(true, Ordering::Relaxed) {
+            if matches!(word, Word::Alive) && words.alive.swap(true, Ordering::Relaxed) {
                 return;
             }
             // The thread ends with the process.
@@ -128,9 +140,19 @@
         self.tell(Word::Ready);
     }
 
-    /// It has taken another process's place: the manager minds this one from here on.
-    pub fn main(&self) {
-        self.tell(Word::Main);
+    /// This process serves from here on, and is the one to mind.
+    pub fn main(&self, process: u32) {
+        self.tell(Word::Main(process));
+    }
+
+    /// Waits until all words are told, but not for long: a manager that takes nothing keeps no process.
+    pub async fn told(&self) {
+        let (answer, told) = oneshot::channel();
+        if self.0.is_some() {
+            self.tell(Word::Told(answer));
+            // Where the time is up, or the thread has gone, there is nothing more to be done.
+            let _ = timeout(LAST_WORDS, told).await;
+        }
     }
 
     /// It was told to stop.
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -277,6 +277,16 @@
     child.wait_with_output().unwrap()
 }
 
+/// A node that serves from a file of this text.
+pub fn run(folder: &Folder, text: &str) -> Node {
+    let path = folder.write("pinhead.toml", text);
+    let mut command = command();
+    command.arg("run").arg("--config").arg(&path);
+    let node = Node::spawn(command, path);
+    wait_for("the node's readiness", || node.get("/healthz").status() == 200);
+    node
+}
+
 /// A running node; it is killed with the test.
 pub struct Node {
     pub address: SocketAddr,
--- a/crates/node/tests/handover.rs
+++ b/crates/node/tests/handover.rs
@@ -3,9 +3,12 @@
 mod common;
 
 use common::{command, ended, read, wait_for, CacheServer, Client, Discovery, Folder, Gate, Node, PATIENCE};
-use rustix::net::{sendmsg, SendAncillaryBuffer, SendAncillaryMessage, SendFlags};
+use rustix::net::{
+    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
+};
 use serde_json::{json, Value};
-use std::io::{ErrorKind, IoSlice, Read, Write};
+use std::io::{ErrorKind, IoSlice, IoSliceMut, Read, Write};
 use std::net::TcpListener;
 use std::os::fd::AsFd;
 use std::os::unix::net::{UnixDatagram, UnixListener, UnixStream};
@@ -115,6 +118,25 @@
     }
 }
 
+/// The listening socket that comes with the peer's next byte, which is a frame's first.
+fn socket_with(peer: &mut Peer) -> TcpListener {
+    let mut space = [std::mem::MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut beside = RecvAncillaryBuffer::new(&mut space);
+    let mut byte = [0];
+    recvmsg(&peer.0, &mut [IoSliceMut::new(&mut byte)], &mut beside, RecvFlags::empty()).unwrap();
+    assert_eq!(&byte, b"P");
+    let passed = beside.drain().find_map(|message| match message {
+        RecvAncillaryMessage::ScmRights(mut passed) => passed.next(),
+        _ => None,
+    });
+    // What is left of the frame.
+    let mut head = [0; 11];
+    peer.0.read_exact(&mut head).unwrap();
+    let mut text = vec![0; u32::from_be_bytes([head[7], head[8], head[9], head[10]]) as usize];
+    peer.0.read_exact(&mut text).unwrap();
+    TcpListener::from(passed.expect("a socket"))
+}
+
 fn frame(kind: u16, text: &str) -> Vec<u8> {
     let mut frame = b"PHHO\0\x01".to_vec();
     frame.extend(kind.to_be_bytes());
@@ -330,6 +352,26 @@
     drop(new);
 }
 
+// Guards against an old process that still accepts when the new one was told to go on.
+#[test]
+fn whoever_comes_once_the_successor_was_told_to_go_on_is_the_successors() {
+    let server = CacheServer::serving("a");
+    let place = Place::new(&fixed(&server), "20s");
+    let old = place.ready();
+    let mut peer = place.asks_the_node();
+    let socket = socket_with(&mut peer);
+    peer.say(READY);
+    peer.hears(GO);
+    let clients: Vec<_> = (0..20).map(|_| Client::to(place.address)).collect();
+    socket.set_nonblocking(true).unwrap();
+    for _ in &clients {
+        wait_for("each of them at the successor", || socket.accept().is_ok());
+    }
+    peer.say(TAKEN);
+    assert!(peer.hear().is_none());
+    assert!(old.exit().success());
+}
+
 #[test]
 fn a_successor_that_hangs_is_sent_away_after_its_time_wherever_it_hangs() {
     let server = CacheServer::serving("a");
@@ -563,6 +605,43 @@
     wait_for("its end", || rustix::process::test_kill_process(process).is_err());
 }
 
+// Guards against a process that has clients and ends because of a path, and against a stop that is taken for the service's.
+#[test]
+fn a_successor_without_a_socket_of_its_own_serves_on_and_one_that_is_stopped_early_says_nothing() {
+    let server = CacheServer::serving("a");
+    let place = Place::new(&fixed(&server), "20s");
+    let serving = Serving::at(&place);
+    let notify = UnixDatagram::bind(place.folder.0.join("notify")).unwrap();
+    notify.set_read_timeout(Some(PATIENCE)).unwrap();
+    let start = || {
+        let mut command = place.command();
+        command.env("NOTIFY_SOCKET", place.folder.0.join("notify")).stderr(Stdio::piped());
+        command
+    };
+    let mut early = start().spawn().unwrap();
+    let mut peer = serving.asked();
+    serving.offer(&place, &peer, &empty_state());
+    peer.hears(READY.0);
+    assert!(Command::new("kill").args(["-TERM", &early.id().to_string()]).status().unwrap().success());
+    assert!(peer.hear().is_none() && early.wait().unwrap().success());
+    notify.set_nonblocking(true).unwrap();
+    assert!(notify.recv(&mut [0; 64]).is_err(), "it said something");
+    let node = std::thread::scope(|scope| {
+        let node = scope.spawn(|| Node::spawn(start(), place.folder.0.join("pinhead.toml")));
+        let mut peer = serving.asked();
+        serving.offer(&place, &peer, &empty_state());
+        peer.hears(READY.0);
+        // Where its socket was to be there is a folder now.
+        std::fs::remove_file(place.socket()).unwrap();
+        std::fs::create_dir_all(place.socket().join("full")).unwrap();
+        drop(peer);
+        node.join().unwrap()
+    });
+    wait_for("a word of it", || node.said("hand-over: nobody can take over: ") == 1);
+    drop(serving);
+    assert_eq!(place.read(1), b"a");
+}
+
 #[test]
 fn a_file_names_the_socket_and_without_one_nobody_can_take_over() {
     let server = CacheServer::serving("a");
--- a/crates/node/tests/operator.rs
+++ b/crates/node/tests/operator.rs
@@ -2,7 +2,9 @@
 
 mod common;
 
-use common::{answer, command, ended, read, wait_for, CacheServer, Client, Discovery, Does, Folder, Node};
+use common::{
+    answer, command, ended, read, run, wait_for, CacheServer, Client, Discovery, Does, Folder, Node,
+};
 use std::path::Path;
 use std::process::Output;
 
@@ -25,16 +27,6 @@
     format!("[[listener]]\nname = \"{name}\"\naddress = \"127.0.0.1:0\"\n")
 }
 
-/// A node that serves from a file of this text.
-fn run(folder: &Folder, text: &str) -> Node {
-    let path = folder.write("pinhead.toml", text);
-    let mut command = command();
-    command.arg("run").arg("--config").arg(&path);
-    let node = Node::spawn(command, path);
-    wait_for("the node's readiness", || node.get("/healthz").status() == 200);
-    node
-}
-
 #[test]
 fn the_example_is_without_fault_and_says_what_holds() {
     let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/pinhead.toml");
--- a/crates/node/tests/reload.rs
+++ b/crates/node/tests/reload.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::{
-    answer, command, read, wait_for, CacheServer, Client, Discovery, Does, Folder, Gate, Node, PATIENCE,
+    answer, command, read, run, wait_for, CacheServer, Client, Discovery, Does, Folder, Gate, Node, PATIENCE,
 };
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixDatagram;
@@ -33,15 +33,6 @@
     format!("version = 1\n{CLIENTS}{}", parts.concat())
 }
 
-fn run(folder: &Folder, text: &str) -> Node {
-    let path = folder.write("pinhead.toml", text);
-    let mut command = command();
-    command.arg("run").arg("--config").arg(&path);
-    let node = Node::spawn(command, path);
-    wait_for("the node's readiness", || node.get("/healthz").status() == 200);
-    node
-}
-
 /// An address that nothing listens on just now.
 fn free_address() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
@@ -105,11 +96,12 @@
 fn a_pool_that_is_removed_finishes_what_it_took_and_one_that_is_added_serves() {
     let ((old, gate), new) = (CacheServer::gated("old"), CacheServer::serving("new"));
     let folder = Folder::new();
-    let node = run(&folder, &file(&[&pool("p", &[&old]), &safe("read")]));
-    // Two: a connection that served one alone would not be kept in any case.
+    // No connection is closed for having stood idle.
+    let idle = "[servers]\nidle = \"60min\"\n";
+    let node = run(&folder, &file(&[idle, &pool("p", &[&old]), &safe("read")]));
     let out = [1, 2].map(|key| asking(&node, "read", key));
     wait_for("both requests", || old.count() == 2);
-    node.reconfigure(&file(&[&pool("q", &[&new]), &safe("read")]));
+    node.reconfigure(&file(&[idle, &pool("q", &[&new]), &safe("read")]));
     assert_eq!(node.read("read", 3).body, b"new");
     gate.open();
     for asked in out {
