--- a/crates/node/src/daemon/change.rs
+++ b/crates/node/src/daemon/change.rs
@@ -15,7 +15,7 @@
 }
 
 impl Change {
-    /// Compares the two. Listeners go by [`Listener::is`], and a pool by its name: what is known of its servers lives on,
+    /// Compares the two. Listeners go by [`is`](crate::config::Listener::is), and a pool by its name: what is known of its servers lives on,
     /// wherever their list comes from.
     pub fn between(held: &Config, wanted: &Config) -> Self {
         let listeners: Vec<_> = wanted
--- a/crates/node/tests/operator.rs
+++ b/crates/node/tests/operator.rs
@@ -262,7 +262,8 @@
     };
     let folder = Folder::new();
     folder.write("boxes.toml", &list(&[("one", &one, "ready")]));
-    let pool = "[[pool]]\nname = \"p\"\nfile = \"boxes.toml\"\n";
+    // A server that comes to the list is as good as any: fresh ones are not held back here.
+    let pool = "[servers]\ncold_share = 1.0\n[[pool]]\nname = \"p\"\nfile = \"boxes.toml\"\n";
     let node = run(&folder, &format!("version = 1\n{}{pool}{CLASS}", listener("clients")));
     assert_eq!(node.read("read", 1).body, b"one");
     let logged = |words: &str| node.log.lock().unwrap().iter().any(|line| line.contains(words));
