Spare discovery: the wait between calls grows with the number of nodes

Each failed call costs discovery a part of what the others could have had, and the calls of 450 nodes without a list were more than it can turn down: in virtual time (200 lines a second, 83 servers, all nodes at once) they did not all have the list within an hour.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! Start from [`Balancer`], fed with [`Event`]s through [`Balancer::handle`], and the [`Settings`] it is made from.
 //! [`handover`] decides who accepts clients while one process takes another's place.
+//! [`asking`] tells how long a node waits before it asks discovery again.
 //! [`supervise`] keeps a fleet of instances going. [`platform`] reads settings and load reports as the platform words them.
 
 pub mod api;
+pub mod asking;
 pub mod balance;
 pub mod handover;
 pub mod platform;
--- a/crates/node/src/daemon/pools.rs
+++ b/crates/node/src/daemon/pools.rs
@@ -12,6 +12,7 @@
 use crate::readiness;
 use crate::upstream::{Places, Upstream};
 use decide::Balancer;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::mpsc::{self, UnboundedSender};
@@ -35,6 +36,8 @@
     /// The module's word that the list has to be asked for.
     follow: Rc<Notify>,
     list: List,
+    /// How many nodes ask its discovery.
+    nodes: Rc<Cell<u32>>,
 }
 
 /// Who brings the list.
@@ -160,11 +163,12 @@
             }
             _ => (!known.hosts.is_empty()).then_some(known.seq),
         };
-        let list = List::begin(&pool.source, seq, seed, &events, &follow);
+        let nodes = Rc::new(Cell::new(settings.nodes));
+        let list = List::begin(&pool.source, seq, seed, &nodes, &events, &follow);
         let balancer = Balancer::new(settings.clone(), seed);
         let driver = Driver::new(balancer, upstream, follow.clone(), has_servers, events.clone());
         spawn_local(driver.run(known.clone(), inputs));
-        let running = Running { pool, events, ready, follow, list };
+        let running = Running { pool, events, ready, follow, list, nodes };
         recalled.into_iter().for_each(|recalled| running.recall(recalled));
         running
     }
@@ -173,6 +177,7 @@
     fn go_on(&self, mut running: Running, pool: Pool) -> Running {
         let before = std::mem::replace(&mut running.pool, pool);
         let Pool { source, known, settings, .. } = &running.pool;
+        running.nodes.set(settings.nodes);
         if *settings != before.settings {
             // The driver only goes once it is retired.
             let _ = running.events.send(Input::Reconfigured(Box::new(settings.clone())));
@@ -185,7 +190,8 @@
             _ if *source == before.source => {}
             _ => {
                 let seed = self.seed.wrapping_add(self.begun);
-                running.list = List::begin(source, None, seed, &running.events, &running.follow);
+                running.list =
+                    List::begin(source, None, seed, &running.nodes, &running.events, &running.follow);
             }
         }
         if *source == Source::Fixed && (before.source != Source::Fixed || known.hosts != before.known.hosts) {
@@ -201,6 +207,7 @@
         source: &Source,
         seq: Option<u64>,
         seed: u64,
+        nodes: &Rc<Cell<u32>>,
         events: &UnboundedSender<Input>,
         follow: &Rc<Notify>,
     ) -> Self {
@@ -209,7 +216,8 @@
                 // Pools that lost one discovery together do not come back together either.
                 let random = fastrand::Rng::with_seed(seed);
                 let (sender, address) = watch::channel(*at);
-                let watching = Discovery { address, seq, random, events: events.clone() };
+                let (nodes, events) = (nodes.clone(), events.clone());
+                let watching = Discovery { address, seq, nodes, random, events };
                 Self::Discovery(sender, spawn_local(watching.run(follow.clone())).abort_handle())
             }
             Source::File(path) => {
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -4,11 +4,13 @@
 use crate::listing::Listing;
 use crate::log::log;
 use bytes::Bytes;
+use decide::asking;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -30,9 +32,6 @@
 const CONNECT: Duration = Duration::from_secs(2);
 /// A list longer than this is no list.
 const LARGEST: usize = 8 << 20;
-/// Wait before a call that follows failed ones: the first step, doubled with each failure up to the most.
-const BACKOFF: Duration = Duration::from_millis(200);
-const BACKOFF_MOST: Duration = Duration::from_secs(3);
 
 #[derive(Debug, Error)]
 enum CallError {
@@ -70,6 +69,8 @@
     pub address: watch::Receiver<SocketAddr>,
     /// Version of the list held; `None` where none is.
     pub seq: Option<u64>,
+    /// How many nodes ask it, as the settings have it by now.
+    pub nodes: Rc<Cell<u32>>,
     pub random: fastrand::Rng,
     pub events: UnboundedSender<Input>,
 }
@@ -95,15 +96,15 @@
 
     /// Watches at one address, until the driver has gone. `told`: the module's word to watch holds already.
     async fn watch_at(&mut self, address: SocketAddr, follow: &Notify, mut told: bool) {
-        let mut failures = 0;
+        let mut failures = 0_u32;
         loop {
             if !std::mem::take(&mut told) {
                 follow.notified().await;
             }
             if failures > 0 {
                 // Nodes that lost the same discovery together must not come back together.
-                let step = BACKOFF.saturating_mul(1 << (failures - 1).min(8)).min(BACKOFF_MOST);
-                sleep(step.mul_f64(0.5 + self.random.f64())).await;
+                let draw = self.random.f64();
+                sleep(asking::wait(self.nodes.get(), failures, self.seq.is_some(), draw)).await;
             }
             let mut link = None;
             loop {
@@ -119,7 +120,7 @@
                     }
                     Err(error) => {
                         log!("discovery: {error}");
-                        failures += 1;
+                        failures = failures.saturating_add(1);
                         if self.events.send(Input::ListingFailed).is_err() {
                             return;
                         }
--- a/crates/rig/src/simulate/discovery.rs
+++ b/crates/rig/src/simulate/discovery.rs
@@ -3,13 +3,9 @@
 use super::agenda::What;
 use super::{Listed, Node, Play, CALL_ENDS};
 use crate::ledger::Fact;
-use decide::{Availability, Event, ServerList, Timestamp};
+use decide::{asking, Availability, Event, ServerList, Timestamp};
 use std::time::Duration;
 
-/// The daemon's wait after a first call that failed; it doubles with each further one, up to the other.
-const BACKOFF: Duration = Duration::from_millis(200);
-const BACKOFF_MOST: Duration = Duration::from_secs(3);
-
 impl Play<'_> {
     pub(super) fn notice_later(&mut self, host: usize, state: Availability, started: Option<Timestamp>) {
         let at = self.now + self.script.discovery.notice;
@@ -42,13 +38,13 @@
 
     /// A node is to ask; after calls that failed, it waits first, and not as long as others that lost the same.
     pub(super) fn follow(&mut self, node: usize) {
-        let Node { life, failures, .. } = self.nodes[node];
+        let Node { life, failures, seq, .. } = self.nodes[node];
         if failures == 0 {
             return self.call(node);
         }
-        let step = BACKOFF.saturating_mul(1 << (failures - 1).min(8)).min(BACKOFF_MOST);
         let draw = self.draw.on(0x6261).on(node as u64).on(u64::from(life)).on(u64::from(failures));
-        self.agenda.put(self.now + step.mul_f64(0.5 + draw.unit()), What::Call { node, life });
+        let wait = asking::wait(self.script.nodes, failures, seq.is_some(), draw.unit());
+        self.agenda.put(self.now + wait, What::Call { node, life });
     }
 
     /// A node asks: for the whole list, or for what is newer than it has.
