--- a/crates/node/benches/fleet.rs
+++ b/crates/node/benches/fleet.rs
@@ -16,6 +16,14 @@
 const STARTS: usize = 15;
 const RELOADS: usize = 1_000;
 const INSTANCES: usize = 20;
+/// Deaths of a successor, at random moments of so long after it has taken over.
+const DEATHS: usize = 200;
+const DEATH_WITHIN: Duration = Duration::from_secs(3);
+/// So many are tried side by side.
+const SIDE_BY_SIDE: usize = 8;
+/// After a death the clients go on for so long, and what happens from this moment on counts on its own.
+const AFTERWARDS: Duration = Duration::from_millis(600);
+const SETTLED: Duration = Duration::from_millis(100);
 const MEASURED: Duration = Duration::from_secs(4);
 
 fn main() {
@@ -26,6 +34,7 @@
     start_up(&server);
     memory(&server);
     upgrades(&server);
+    crashes(&server);
     throughput(&server);
 }
 
@@ -203,6 +212,100 @@
     println!("| the same by stop and start | {lost} of {} lost or refused |", served + lost);
 }
 
+/// What clients come to whose successor is killed.
+#[derive(Default)]
+struct Deaths {
+    asked: AtomicU64,
+    /// Connected, asked, and had no answer; of these, those that connected after the death.
+    lost: AtomicU64,
+    lost_later: AtomicU64,
+    /// Connections refused, and of these those after the moment from which on none is to be.
+    refused: AtomicU64,
+    refused_later: AtomicU64,
+}
+
+/// Kills the successor once, so long after it has taken over, with four clients that ask on new connections.
+fn death(server: &CacheServer, probation: &str, after: Duration, counts: &Deaths) {
+    let folder = Folder::new();
+    let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let start = || {
+        let path = file(&folder, "n", &address.to_string(), server, "");
+        let text = std::fs::read_to_string(&path).unwrap();
+        std::fs::write(&path, text.replace("probation = \"100ms\"", &format!("probation = \"{probation}\"")))
+            .unwrap();
+        run(&path)
+    };
+    let old = start();
+    wait_for("readiness", || answers(address));
+    let (over, died) = (AtomicBool::new(false), std::sync::OnceLock::<Instant>::new());
+    std::thread::scope(|scope| {
+        for number in 0..4_u64 {
+            let (over, died) = (&over, &died);
+            scope.spawn(move || {
+                let mut key = number << 32;
+                while !over.load(Ordering::SeqCst) {
+                    key += 1;
+                    counts.asked.fetch_add(1, Ordering::SeqCst);
+                    let at = Instant::now();
+                    let since = |moment: Duration| died.get().is_some_and(|died| at >= *died + moment);
+                    match TcpStream::connect(address) {
+                        Err(_) => {
+                            counts.refused.fetch_add(1, Ordering::SeqCst);
+                            counts.refused_later.fetch_add(since(SETTLED).into(), Ordering::SeqCst);
+                        }
+                        Ok(mut stream) => {
+                            let sent = stream.write_all(read("read", key, 5_000).as_bytes());
+                            let answer = sent.and_then(|()| Message::read(&mut BufReader::new(stream)));
+                            if !answer.is_ok_and(|answer| answer.is_some_and(|answer| answer.status() == 200))
+                            {
+                                counts.lost.fetch_add(1, Ordering::SeqCst);
+                                counts.lost_later.fetch_add(since(Duration::ZERO).into(), Ordering::SeqCst);
+                            }
+                        }
+                    }
+                    std::thread::sleep(Duration::from_millis(2));
+                }
+            });
+        }
+        let mut new = start();
+        wait_for("the hand-over", || old.said("stands by") == 1);
+        std::thread::sleep(after);
+        new.child.kill().unwrap();
+        // From its end on, not from the signal: until then it still takes requests.
+        new.child.wait().unwrap();
+        died.set(Instant::now()).unwrap();
+        std::thread::sleep(AFTERWARDS);
+        over.store(true, Ordering::SeqCst);
+    });
+}
+
+/// Successors that are killed: with the process before them standing by, and with it gone as soon as it can.
+fn crashes(server: &CacheServer) {
+    for (what, probation) in [("the old process stands by", "10s"), ("it leaves at once", "1ms")] {
+        let counts = Deaths::default();
+        std::thread::scope(|scope| {
+            for worker in 0..SIDE_BY_SIDE {
+                let counts = &counts;
+                scope.spawn(move || {
+                    let mut random = fastrand::Rng::with_seed(worker as u64);
+                    for _ in 0..DEATHS / SIDE_BY_SIDE {
+                        death(server, probation, DEATH_WITHIN.mul_f64(random.f64()), counts);
+                    }
+                });
+            }
+        });
+        let count = |count: &AtomicU64| count.load(Ordering::SeqCst);
+        println!(
+            "| {DEATHS} successors killed, {what} | of {} requests {} lost ({} of them sent after the death), {} refused ({} from {SETTLED:?} after it on) |",
+            count(&counts.asked),
+            count(&counts.lost),
+            count(&counts.lost_later),
+            count(&counts.refused),
+            count(&counts.refused_later),
+        );
+    }
+}
+
 fn throughput(server: &CacheServer) {
     let served = |instances: usize| {
         let folders: Vec<_> = (0..instances).map(|_| Folder::new()).collect();
