--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -126,8 +126,9 @@
         }
     }
 
-    /// `ok` is `None` where it tells nothing: a trial gives its place back. Returns whether it should trip.
-    fn on_outcome(&mut self, epoch: u32, ok: Option<bool>, now: Timestamp) -> bool {
+    /// `ok` is `None` where it tells nothing: a trial gives its place back. Returns whether it should trip,
+    /// for which `least` calls are needed.
+    fn on_outcome(&mut self, epoch: u32, ok: Option<bool>, least: u32, now: Timestamp) -> bool {
         if epoch != self.epoch {
             return false;
         }
@@ -147,7 +148,7 @@
                 }
                 self.calls += 1;
                 self.failures += u32::from(!ok);
-                return self.calls >= MIN_CALLS.max(self.usual / USUAL_PART)
+                return self.calls >= least.max(self.usual / USUAL_PART)
                     && f64::from(self.failures) >= TRIP_RATE * f64::from(self.calls);
             }
             _ => {}
@@ -619,7 +620,7 @@
             }
             self.kept.insert(key_of(&held.request), ok.is_some());
         }
-        if self.origin.on_outcome(attempt.epochs.2, fetched.then_some(ok.is_some()), now) {
+        if self.origin.on_outcome(attempt.epochs.2, fetched.then_some(ok.is_some()), MIN_CALLS, now) {
             let jittered = COOLDOWN.mul_f64(0.75 + unit(mix(self.seed ^ now.as_micros())) / 2.0);
             self.origin.enter(State::Open { until: now + jittered }, now);
             actions.push(Action::Log("breaker of the origin tripped".into()));
@@ -673,15 +674,25 @@
             }
             // Other failures may be the origin's or the whole server's.
             let of_class = (answered || barred).then_some(answered);
-            if server.by_class[class].on_outcome(class_epoch, of_class, now)
+            if server.by_class[class].on_outcome(class_epoch, of_class, MIN_CALLS, now)
                 && self.is_classes_own(i, class, now)
             {
                 self.servers[i].by_class[class].enter(State::Open { until: now + COOLDOWN }, now);
                 actions.push(Action::Log(format!("breaker of {} tripped for class {class}", outcome.server)));
             }
             let server = &mut self.servers[i];
-            if server.breaker.on_outcome(epoch, ok.filter(|_| !barred), now) && self.is_outlier(i, now) {
-                self.servers[i].breaker.enter(State::Open { until: now + COOLDOWN }, now);
+            // One of many nodes seldom makes so many calls in a window: as many as it makes are enough, for
+            // a part of the cooldown. Not of time-outs and full queues: with too much to do all have them.
+            let load = matches!(outcome.status, Status::TimedOut | Status::QueueFull);
+            let least = if load { MIN_CALLS } else { calls_in_window(server.gap) };
+            if server.breaker.on_outcome(epoch, ok.filter(|_| !barred), least, now) && self.is_outlier(i, now)
+            {
+                let breaker = &mut self.servers[i].breaker;
+                let part = match breaker.state {
+                    State::Closed => breaker.calls.min(MIN_CALLS),
+                    _ => MIN_CALLS,
+                };
+                breaker.enter(State::Open { until: now + COOLDOWN * part / MIN_CALLS }, now);
                 actions.push(Action::Log(format!("breaker of {} tripped", outcome.server)));
             }
         }
@@ -868,6 +879,11 @@
     (Arc::new(settings), limit_start)
 }
 
+/// How many calls a server gets in a window if they come so far apart, up to those that trip its breaker.
+fn calls_in_window(gap: Duration) -> u32 {
+    (WINDOW.as_secs_f64() / gap.as_secs_f64()).clamp(1.0, f64::from(MIN_CALLS)) as u32
+}
+
 fn slot_of(settings: &Settings, request: &Request) -> usize {
     let other = settings.classes.len() - 1;
     request.class.map_or(other, |id| id.0.min(other))
