Give cold servers a smaller part of hot keys, and less of their stated multiple

A hot key is now shared out by what its servers can do at the moment, and COLD_PART is 0.55 (0.7). The tests of the module pass.

--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -25,7 +25,7 @@
 /// No breaker trips while the other servers fail at this rate: the cause is not that one server's.
 const COMMON_RATE: f64 = TRIP_RATE / 2.0;
 /// Share of a cold server's stated multiple that is used: a span can touch three half-span slots.
-const COLD_PART: f64 = 0.7;
+const COLD_PART: f64 = 0.55;
 /// So much of what a cold server is sent, by all nodes together in a slot of time, needs no good answers
 /// before: none come where all servers are cold. It is little beside what any server can do.
 const COLD_TRICKLE: f64 = 2.0;
@@ -811,9 +811,15 @@
         }
         let key = key_of(&held.request);
         let mut order = self.order(key, now);
-        // Each of the servers that share a hot key is the first for a part of its requests.
+        // Each of the servers that share a hot key is the first for a part of it, a cold one for a smaller.
         let wide = self.hot.width(now, key, order.len());
-        order[..wide].rotate_left((unit(mix(held.luck.to_bits())) * wide as f64) as usize);
+        let able = |i: &usize| self.capacity(&self.servers[*i], now);
+        let mut left = unit(mix(held.luck.to_bits())) * order[..wide].iter().map(able).sum::<f64>();
+        let first = order[..wide].iter().position(|i| {
+            left -= able(i);
+            left < 0.0
+        });
+        order[..wide].rotate_left(first.unwrap_or(0));
         let own = *order.first()?;
         // For want of room to the next few and no further: over a slow fleet, hits would turn to misses.
         let mut open = order.into_iter().filter(usable).take(SPREAD).peekable();
