Let the node's tests hear the manager's words past an interrupted read

Seen once in a run of the whole workspace: recv on the manager's socket ended with EINTR and failed a test that had nothing wrong. A read with a time limit is not taken up again by the system after a signal. Four copies of the read are one now, in the tests' common file, which reads on.

--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -3,8 +3,9 @@
 
 use serde_json::{json, Value};
 use std::collections::HashMap;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixDatagram;
 use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -23,6 +24,19 @@
     }
 }
 
+/// The next word that a node tells its service's manager. A read with a time limit that a signal meets (also one that stops
+/// and continues the whole test) is not taken up again by the system.
+pub fn word(manager: &UnixDatagram) -> String {
+    let mut bytes = [0; 4096];
+    let length = loop {
+        match manager.recv(&mut bytes) {
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            other => break other.expect("a word"),
+        }
+    };
+    String::from_utf8(bytes[..length].to_vec()).unwrap().trim_end().to_owned()
+}
+
 /// An HTTP message as it came: its first line, its headers by lower-case name, its body.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Message {
--- a/crates/node/tests/handover.rs
+++ b/crates/node/tests/handover.rs
@@ -582,11 +582,7 @@
     let place = Place::new(&fixed(&server), "20s");
     let socket = UnixDatagram::bind(place.folder.0.join("notify")).unwrap();
     socket.set_read_timeout(Some(PATIENCE)).unwrap();
-    let word = || {
-        let mut bytes = [0; 4096];
-        let length = socket.recv(&mut bytes).expect("a word");
-        String::from_utf8(bytes[..length].to_vec()).unwrap().trim_end().to_owned()
-    };
+    let word = || common::word(&socket);
     let mut command = place.command();
     command.env("NOTIFY_SOCKET", place.folder.0.join("notify")).env("WATCHDOG_USEC", "60000000");
     let old = Node::spawn(command, place.folder.0.join("pinhead.toml"));
@@ -807,9 +803,7 @@
     let mut said = Vec::new();
     let main = format!("MAINPID={}", old.child.id());
     while !said.ends_with(&["READY=1".to_owned()]) || !said.contains(&main) {
-        let mut bytes = [0; 4096];
-        let length = notify.recv(&mut bytes).expect("a word");
-        said.push(String::from_utf8(bytes[..length].to_vec()).unwrap().trim_end().to_owned());
+        said.push(common::word(&notify));
     }
     let status = "STATUS=serving: the successor has died, and its clients were taken back";
     assert!(said.iter().any(|word| word == status), "{said:?}");
--- a/crates/node/tests/manager.rs
+++ b/crates/node/tests/manager.rs
@@ -26,9 +26,7 @@
 
     /// The next word of the node's.
     fn word(&self) -> String {
-        let mut bytes = [0; 4096];
-        let length = self.socket.recv(&mut bytes).expect("a word");
-        String::from_utf8(bytes[..length].to_vec()).unwrap().trim_end().to_owned()
+        common::word(&self.socket)
     }
 
     /// Waits for this word, and gives those before it.
--- a/crates/node/tests/reload.rs
+++ b/crates/node/tests/reload.rs
@@ -332,11 +332,7 @@
     let (server, folder) = (CacheServer::serving("a"), Folder::new());
     let socket = UnixDatagram::bind(folder.0.join("notify")).unwrap();
     socket.set_read_timeout(Some(PATIENCE)).unwrap();
-    let word = || {
-        let mut bytes = [0; 4096];
-        let length = socket.recv(&mut bytes).expect("a word");
-        String::from_utf8(bytes[..length].to_vec()).unwrap().trim_end().to_owned()
-    };
+    let word = || common::word(&socket);
     let good = file(&[&pool("p", &[&server]), &safe("read")]);
     let path = folder.write("pinhead.toml", &good);
     let mut command = command();
