Limit what cold servers get over any span of time, not in slots that waste it

Cause: cold_room() counted sends in half-span slots, of which a span touches three, so that a busy server got half as much again as meant, and a node with a tenth of a send to make in a slot drew anew for each whether it may. The test plays 12 seeds now, one before. Also: a repeat after a failed connection paid into the retry budget as a first try does; it pays nothing now.

--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -6,7 +6,7 @@
 
 use crate::api::*;
 use crate::hot_keys::HotKeys;
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,11 +24,14 @@
 const TRIALS: u32 = 3;
 /// No breaker trips while the other servers fail at this rate: the cause is not that one server's.
 const COMMON_RATE: f64 = TRIP_RATE / 2.0;
-/// Share of a cold server's stated multiple that is used: a span can touch three half-span slots.
-const COLD_PART: f64 = 0.55;
-/// So much of what a cold server is sent, by all nodes together in a slot of time, needs no good answers
-/// before: none come where all servers are cold. It is little beside what any server can do.
-const COLD_TRICKLE: f64 = 2.0;
+/// Share of a cold server's stated multiple that is used: it is told by what servers are used for, with chance.
+const COLD_PART: f64 = 0.65;
+/// So much of what a cold server is sent, by all nodes together in a span, needs no good answers before: none
+/// come where all servers are cold. It is little beside what any server can do.
+const COLD_TRICKLE: f64 = 4.0;
+/// Of what cold servers were sent within a span, this part proves nothing in it: all cold, each answer would
+/// allow more than one more, and work would not grow from span to span but at once, past what they can bear.
+const COLD_DOUBT: f64 = 0.4;
 /// A node keeps a connection for its next send if that comes within its part of this time.
 const KEPT_OPEN: Duration = Duration::from_secs(3000);
 /// Retry budget: each request pays in this much, and no more than so many are saved up.
@@ -167,9 +170,8 @@
     /// quota of that class's own). Blocked as a whole, it would lose the keys of all classes to servers that
     /// lack them. Harmful if turned away for a moment only: that class's keys are missed elsewhere meanwhile.
     by_class: Vec<Breaker>,
-    /// While it is cold: sends it got in the present slot of time, and which slot that is.
-    slot: u64,
-    used: u32,
+    /// While it is cold: when it was sent to in the span that counts, oldest first.
+    lately: VecDeque<Timestamp>,
     in_flight: u32,
     limit: f64,
     /// When it was last sent to, and how long after the send before.
@@ -437,7 +439,7 @@
                     });
                     let entry = if first { entry.clone() } else { self.dated(entry, None, now) };
                     let (breaker, gap) = (Breaker::new(WINDOW, now), Duration::MAX);
-                    let (slot, used, in_flight, limit, sent) = (0, 0, 0, self.limit_start, now);
+                    let (lately, in_flight, limit, sent) = (VecDeque::new(), 0, self.limit_start, now);
                     let unqueued = None;
                     let by_class =
                         self.settings.classes.iter().map(|_| Breaker::new(CLASS_WINDOW, now)).collect();
@@ -447,8 +449,7 @@
                         hash,
                         breaker,
                         by_class,
-                        slot,
-                        used,
+                        lately,
                         in_flight,
                         limit,
                         sent,
@@ -490,27 +491,27 @@
         (server.entry.weight * speed * self.warmth(&server.entry, now)).max(1e-9)
     }
 
-    fn slot(&self, now: Timestamp) -> u64 {
-        now.as_micros() / (self.settings.fall_span.as_micros() as u64 / 2).max(1)
-    }
-
     /// Pushed over by all nodes, a cold server never comes back: each sends its part of what its size
-    /// should get of the good answers seen here, in slots drawn by seed, with nothing in hand or saved up.
-    /// A node that has just started has seen none, and begins with its part of a trickle.
+    /// should get of the good answers seen here, within any span of time, with nothing saved up. Of many
+    /// nodes each may send now and then: it draws whether it may for a span, which ends at another time on
+    /// each. A node that has just started has seen no answers, and begins with its part of a trickle.
     fn cold_room(&self, i: usize, now: Timestamp) -> bool {
         let server = &self.servers[i];
         if self.is_origin(&server.entry) || self.warmth(&server.entry, now) >= 1.0 {
             return true;
         }
-        let slot = self.slot(now);
         let caches = self.servers.iter().filter(|server| self.in_use(server));
         let fleet: f64 = caches.map(|server| self.capacity(server, now)).sum();
         let share = self.capacity(server, now) / fleet;
-        let spans = self.settings.fall_span.as_secs_f64() / RATE_SPAN.as_secs_f64();
-        let part = self.good * spans / 2.0 * share * self.settings.fall_multiple * COLD_PART;
+        let span = self.settings.fall_span;
+        let spans = span.as_secs_f64() / RATE_SPAN.as_secs_f64();
+        let lately = |server: &Server| server.lately.iter().filter(|sent| now.since(**sent) < span).count();
+        let proven = self.good - COLD_DOUBT * self.servers.iter().map(lately).sum::<usize>() as f64;
+        let part = proven * spans * share * self.settings.fall_multiple * COLD_PART;
         let part = part.max(COLD_TRICKLE / f64::from(self.settings.nodes.max(1)));
-        let used = if server.slot == slot { server.used } else { 0 };
-        f64::from(used) < (part + unit(mix(self.seed ^ server.hash ^ slot))).floor()
+        let drawn = mix(self.seed ^ server.hash);
+        let turn = (now + span.mul_f64(unit(drawn))).as_micros() / (span.as_micros() as u64).max(1);
+        (lately(server) as f64) < (part + unit(mix(drawn ^ turn))).floor()
     }
 
     /// Many servers failing together have a common cause: ejecting them would push their keys onto the rest.
@@ -708,9 +709,12 @@
             return;
         }
         // Asking the origin after a miss is the ordinary way on, any other attempt a retry on a budget.
-        // So is one after an attempt that reached nobody: it cost no server anything.
-        let unmet = |status| matches!(status, Some(Status::Miss | Status::ConnectError));
-        let retry = held.attempts.last().is_some_and(|a| !unmet(a.status));
+        // One after an attempt that reached nobody cost no server anything: it is free, and pays nothing in.
+        let (retry, pays) = match held.attempts.last().and_then(|attempt| attempt.status) {
+            None | Some(Status::Miss) => (false, RETRY_SHARE),
+            Some(Status::ConnectError) => (false, 0.0),
+            Some(_) => (true, -1.0),
+        };
         let barred = retry && self.retry_budget < 1.0;
         // A fleet that is jammed as a whole drains only if most is refused before it is sent.
         let good = self.good + f64::from(MIN_CALLS);
@@ -739,12 +743,14 @@
             }
             return self.end(now, held, actions);
         };
-        self.retry_budget = (self.retry_budget + if retry { -1.0 } else { RETRY_SHARE }).min(RETRY_SAVED);
-        let (slot, class) = (self.slot(now), held.slot);
+        self.retry_budget = (self.retry_budget + pays).min(RETRY_SAVED);
+        let class = held.slot;
         let cold = self.likely_miss(&held.request, &self.servers[i]);
         self.fetching += u32::from(cold);
+        let counts = self.warmth(&self.servers[i].entry, now) < 1.0;
         let server = &mut self.servers[i];
-        (server.used, server.slot) = (if server.slot == slot { server.used + 1 } else { 1 }, slot);
+        server.lately.retain(|sent| counts && now.since(*sent) < self.settings.fall_span);
+        server.lately.extend(counts.then_some(now));
         server.in_flight += 1;
         (server.sent, server.gap) = (now, now.since(server.sent));
         server.breaker.on_send(now);
--- a/crates/decide/src/balance/knowledge.rs
+++ b/crates/decide/src/balance/knowledge.rs
@@ -34,7 +34,7 @@
     started: Option<u64>,
     breaker: KnownBreaker,
     by_class: Vec<(String, KnownBreaker)>,
-    /// Sends in the slot of time under way, while it is cold.
+    /// Sends in the span that counts, while it is cold.
     used: u32,
     limit: f64,
     /// How long ago it last told of no queue.
@@ -114,7 +114,7 @@
     pub fn knowledge(&self, now: Timestamp) -> Knowledge {
         let class = |slot: usize| self.settings.classes[slot].name.to_string();
         let age = |at: Timestamp| micros(now.since(at));
-        let slot = self.slot(now);
+        let span = self.settings.fall_span;
         let server = |server: &Server| KnownServer {
             id: server.entry.id.to_string(),
             started: server.entry.started.map(Timestamp::as_micros),
@@ -125,7 +125,7 @@
                 .enumerate()
                 .map(|(i, breaker)| (class(i), KnownBreaker::of(breaker, now)))
                 .collect(),
-            used: if server.slot == slot { server.used } else { 0 },
+            used: server.lately.iter().filter(|sent| now.since(**sent) < span).count() as u32,
             limit: server.limit,
             unqueued_age: server.unqueued.map(age),
         };
@@ -158,7 +158,6 @@
     /// Takes on what another life knew of the servers that are on the list, each as long as it is the same life of the
     /// server's. Numbers out of any range count as none.
     pub(super) fn recall(&mut self, now: Timestamp, known: &Knowledge) {
-        let slot = self.slot(now);
         let classes: Vec<_> = self.settings.classes.iter().map(|class| class.name.clone()).collect();
         for server in &mut self.servers {
             let started = server.entry.started.map(Timestamp::as_micros);
@@ -170,7 +169,7 @@
                     *breaker = known.to_breaker(CLASS_WINDOW, now);
                 }
             }
-            (server.slot, server.used) = (slot, known.used.min(MANY));
+            server.lately = std::iter::repeat_n(now, known.used.min(KEYS_KNOWN as u32) as usize).collect();
             server.limit = sound(known.limit, MANY_PARTS).max(LIMIT_LEAST);
             server.unqueued = known.unqueued_age.map(|age| ago(now, age));
         }
--- a/crates/decide/tests/rules.rs
+++ b/crates/decide/tests/rules.rs
@@ -118,10 +118,14 @@
 /// stated multiple of what that server can do, taking the rest of the fleet's use for its size.
 #[test]
 fn a_cold_server_is_not_pushed_over() {
+    (1..=12).for_each(play_with_a_cold_server);
+}
+
+fn play_with_a_cold_server(seed: u64) {
     let mut node = Node::with_servers(settings(), 10);
     let born = node.now + ms(4_000);
     let (mut to_cold, mut all) = (Vec::new(), 0.0);
-    let mut rng = fastrand::Rng::with_seed(11);
+    let mut rng = fastrand::Rng::with_seed(seed);
     for step in 0..20_000u64 {
         if step == 5_000 {
             let mut list: Vec<ServerEntry> = node.list.values().cloned().collect();
@@ -160,7 +164,7 @@
         if age < 0.9 {
             let capacity = per_server * (node.settings.cold_share + (1.0 - node.settings.cold_share) * age);
             let most = node.settings.fall_multiple * capacity * 1.2 + 2.0;
-            assert!((within as f64) < most, "{within} in a span, {most} allowed at age {age}");
+            assert!((within as f64) < most, "seed {seed}: {within} in a span, {most} allowed at age {age}");
         }
     }
 }
--- a/crates/decide/tests/spread.rs
+++ b/crates/decide/tests/spread.rs
@@ -53,6 +53,32 @@
     }
 }
 
+/// The danger: connections that fail pay for repeats that servers with too much to do are to be spared.
+#[test]
+fn connections_that_failed_save_up_no_budget_for_other_repeats() {
+    let mut node = Node::with_servers(settings(), 26);
+    let mut repeats = |unmet: usize| {
+        let mut repeated = 0;
+        for key in 0..100 {
+            let id = node.request(0, key, ms(400));
+            for _ in 0..unmet {
+                node.answer(&id, Status::ConnectError);
+            }
+            node.answer(&id, Status::Reset);
+            repeated += u32::from(node.out(&id).is_some());
+            if node.out(&id).is_some() {
+                node.answer(&id, Status::Ok);
+            }
+        }
+        repeated
+    };
+    // What was saved up is spent first: a fifth of the requests pay for one repeat each.
+    repeats(0);
+    let (without, with) = (repeats(0), repeats(2));
+    assert!((18..=22).contains(&without), "{without}");
+    assert!(with <= 22, "{with}");
+}
+
 /// The danger: each of a hundred nodes calls a broken server three times before it stops, and each loses as many requests.
 #[test]
 fn one_error_of_a_server_that_is_seldom_met_blocks_it_for_a_part_of_the_cooldown() {
--- a/crates/rig/tests/faults.rs
+++ b/crates/rig/tests/faults.rs
@@ -82,8 +82,9 @@
     script.clients.impatient = 0.0;
     script.boxes.truncate(1);
     (script.boxes[0].count, script.boxes[0].errors) = (6, 0.0);
-    // Everything is held, and no work is far longer than another.
-    (script.load.keys, script.origin.warm) = (2_000, 1.0);
+    // Everything is held, and no work is far longer than another; nor is a fetch, by the other servers that a hot key is
+    // shared out to.
+    (script.load.keys, script.origin.warm, script.origin.spread) = (2_000, 1.0, 0.1);
     script.classes.iter_mut().for_each(|class| class.spread = 0.1);
     script
 }
@@ -130,8 +131,7 @@
         watch.outcomes().filter(|(_, status, took)| *status == Status::Ok && took.as_millis() >= 200).count()
     };
     let calm = Watch::play(&Script { incidents: vec![], ..script });
-    // Heavy work takes as long now and then.
-    assert!(slow(&calm) <= 2, "{}", slow(&calm));
+    assert_eq!(slow(&calm), 0);
     assert!(slow(&lossy) > 10, "{}", slow(&lossy));
     assert!(lossy.count(Status::ConnectError) > 0);
 }
