--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -24,7 +24,7 @@
 const TRIALS: u32 = 3;
 /// No breaker trips while the other servers fail at this rate: the cause is not that one server's.
 const COMMON_RATE: f64 = TRIP_RATE / 2.0;
-/// Share of a cold server's stated multiple that is used: its size is guessed from the fleet's use, with chance.
+/// Share of a cold server's stated multiple that is used: its size is guessed, from the fleet's use.
 const COLD_PART: f64 = 0.65;
 /// So much of what a cold server is sent, by all nodes together in a span, needs no good answers before: none
 /// come where all servers are cold. It is little beside what any server can do.
