Rehearse a mass kill, a lost zone and a mass replacement, counted over all nodes

Mended in the player: a node of the platform's started without a version and asked for the whole list, where the daemon goes on from its list's version. What broken answers cost discovery is counted.

--- a/crates/node/src/rehearse.rs
+++ b/crates/node/src/rehearse.rs
@@ -33,6 +33,9 @@
     /// Draws everything anew from this seed, rather than from the script's own
     #[arg(long)]
     seed: Option<u64>,
+    /// Plays with so many nodes, rather than the script's own number
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=2_000))]
+    nodes: Option<u32>,
     /// Prints one line of JSON instead of the table and the picture
     #[arg(long)]
     json: bool,
@@ -54,6 +57,9 @@
     /// Seeds that are played once each, from the script's own on
     #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u32).range(0..=1_000))]
     seeds: u32,
+    /// Plays with so many nodes, rather than the scripts' own numbers
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=2_000))]
+    nodes: Option<u32>,
     /// Who plays them
     #[arg(long, value_enum, default_value_t = Player::Virtual)]
     player: Player,
@@ -108,6 +114,7 @@
 fn play(play: &Play) -> ExitCode {
     let Some(mut script) = script(&play.script) else { return ExitCode::from(UNUSABLE) };
     script.seed = play.seed.unwrap_or(script.seed);
+    script.nodes = play.nodes.unwrap_or(script.nodes);
     if !play.json {
         eprintln!("{}: {}", script.name, script.about);
     }
@@ -154,7 +161,8 @@
         let (plays, seeds) = (repeat.plays, u64::from(repeat.seeds));
         let again = (0..plays).map(|_| (script.seed, true));
         for (seed, again) in again.chain((0..seeds).map(|n| (script.seed.wrapping_add(n), false))) {
-            let script = Script { seed, ..script.clone() };
+            let nodes = repeat.nodes.unwrap_or(script.nodes);
+            let script = Script { seed, nodes, ..script.clone() };
             let played = match repeat.player {
                 Player::Virtual => simulate::play(&script),
                 Player::Sockets => match on_sockets(&script, false) {
--- a/crates/rig/src/demand.rs
+++ b/crates/rig/src/demand.rs
@@ -151,11 +151,13 @@
         let hot = Incident {
             at: Duration::from_secs(10),
             over: Duration::from_secs(10),
+            zone: None,
             what: Trouble::HotKeys { keys: 1, share: 0.24 },
         };
         let surge = Incident {
             at: Duration::from_secs(30),
             over: Duration::from_secs(10),
+            zone: None,
             what: Trouble::Surge { factor: 2.0 },
         };
         let base = Script::default();
--- a/crates/rig/src/live/discovery.rs
+++ b/crates/rig/src/live/discovery.rs
@@ -2,20 +2,24 @@
 //! address of its own, so that the judge knows who was told what.
 
 use super::{LiveError, World};
+use crate::draw::Draw;
 use crate::fleet;
 use crate::ledger::Fact;
 use bytes::Bytes;
 use decide::Availability;
-use http_body_util::Full;
-use hyper::body::Incoming;
+use http_body_util::{Either, Full};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde_json::{json, Value};
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
@@ -96,7 +100,41 @@
         .and_then(|text| text.parse().ok())
 }
 
-async fn respond(world: &Rc<World>, node: usize, request: Request<Incoming>) -> Response<Full<Bytes>> {
+/// A body that breaks off: fewer bytes come than its head has told.
+struct BreaksOff {
+    told: u64,
+    left: Option<Bytes>,
+}
+
+impl Body for BreaksOff {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let part = self.left.take().map(Frame::data);
+        Poll::Ready(Some(part.ok_or_else(|| io::ErrorKind::BrokenPipe.into())))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.told)
+    }
+}
+
+type Answer = Response<Either<Full<Bytes>, BreaksOff>>;
+
+/// An answer of which its node can use nothing: half of it, under a head that tells of the whole or of just that half.
+fn broken(whole: &str, breaks_off: bool) -> Answer {
+    let half = Bytes::copy_from_slice(&whole.as_bytes()[..whole.len() / 2]);
+    Response::new(match breaks_off {
+        true => Either::Right(BreaksOff { told: whole.len() as u64, left: Some(half) }),
+        false => Either::Left(Full::new(half)),
+    })
+}
+
+async fn respond(world: &Rc<World>, node: usize, request: Request<Incoming>) -> Answer {
     let query = request.uri().query().unwrap_or("");
     let after = number(query, "after");
     let wait = Duration::from_millis(number(query, "wait_ms").unwrap_or(0)).min(LONGEST_WAIT);
@@ -121,20 +159,24 @@
         if !in_turn(world, lines as f64).await {
             return None;
         }
-        Some(tell(world, node, after))
+        let number = world.discovery_told.get() + 1;
+        world.discovery_told.set(number);
+        let draw = Draw::new(world.script.seed).on(0x6c69_7374).on(number);
+        if draw.unit() < world.discovery_breaks.get() {
+            return Some(broken(&worded(world, after).to_string(), draw.on(1).unit() < 0.5));
+        }
+        let list = tell(world, node, after).to_string();
+        Some(Response::new(Either::Left(Full::new(Bytes::from(list)))))
     };
-    let body = tokio::select! {
-        body = told => body,
+    let answer = tokio::select! {
+        answer = told => answer,
         _ = up.wait_for(|up| !up) => None,
     };
-    match body {
-        Some(body) => Response::new(Full::new(Bytes::from(body.to_string()))),
-        None => {
-            let mut response = Response::new(Full::new(Bytes::new()));
-            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-            response
-        }
-    }
+    answer.unwrap_or_else(|| {
+        let mut response = Response::new(Either::Left(Full::new(Bytes::new())));
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        response
+    })
 }
 
 /// Waits for the turn of so many lines; `false` where that would take too long.
@@ -151,18 +193,19 @@
     true
 }
 
+/// What is newer than that version.
+fn worded(world: &World, after: Option<u64>) -> Value {
+    let Some(after) = after else { return whole(world) };
+    let state = world.state.borrow();
+    let newer = state.hosts.iter().filter(|host| host.version > after);
+    let hosts: Vec<_> = newer.map(|host| entry(world, host)).collect();
+    json!({"seq": *world.versions.borrow(), "whole": false, "hosts": hosts})
+}
+
 /// Writes down who is told what, and words it.
 fn tell(world: &World, node: usize, after: Option<u64>) -> Value {
     let at = world.now();
-    let list = match after {
-        None => whole(world),
-        Some(after) => {
-            let state = world.state.borrow();
-            let newer = state.hosts.iter().filter(|host| host.version > after);
-            let hosts: Vec<_> = newer.map(|host| entry(world, host)).collect();
-            json!({"seq": *world.versions.borrow(), "whole": false, "hosts": hosts})
-        }
-    };
+    let list = worded(world, after);
     let state = world.state.borrow();
     for host in state.hosts.iter().filter(|host| after.is_none_or(|after| host.version > after)) {
         let stops = host.state != Availability::Ready;
--- a/crates/rig/src/live/mod.rs
+++ b/crates/rig/src/live/mod.rs
@@ -143,6 +143,7 @@
         origin_queue: played.origin_queue,
         log_lines: played.log_lines,
         samples: played.samples,
+        counts: Vec::new(),
     };
     world.nodes.borrow_mut().clear();
     let failed = world.failed.take();
@@ -243,6 +244,9 @@
     /// Versions of discovery's list; and whether it answers.
     versions: watch::Sender<u64>,
     discovery_up: watch::Sender<bool>,
+    /// Of its answers, this part breaks off or can't be read; and how many there have been.
+    discovery_breaks: Cell<f64>,
+    discovery_told: Cell<u64>,
     discovery_free: Cell<Instant>,
     /// Why the play cannot go on as the script has it.
     failed: RefCell<Option<LiveError>>,
@@ -279,6 +283,8 @@
             nodes: RefCell::default(),
             versions: watch::Sender::new(1),
             discovery_up: watch::Sender::new(true),
+            discovery_breaks: Cell::new(0.0),
+            discovery_told: Cell::new(0),
             discovery_free: Cell::new(Instant::now()),
             failed: RefCell::default(),
             failure: Notify::new(),
@@ -412,6 +418,7 @@
             Change::Discovery { up } => {
                 world.discovery_up.send_replace(up);
             }
+            Change::DiscoveryBreaks { rate } => world.discovery_breaks.set(rate),
         }
     }
 }
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -1,5 +1,6 @@
 //! What a play came to, for people and for programs.
 
+use crate::counts::Counts;
 use crate::ledger::Second;
 use crate::script::{Script, Trouble};
 use crate::simulate::Played;
@@ -43,7 +44,7 @@
 pub struct Check {
     /// What.
     pub what: String,
-    /// At least, or for rules exactly, this.
+    /// At least this; for rules exactly, for what is counted at most.
     pub wanted: f64,
     /// This came.
     pub got: f64,
@@ -63,14 +64,29 @@
         let least = least.into_iter().filter_map(|(what, wanted, got)| {
             wanted.map(|wanted| Check { what: what.into(), wanted, got, held: got >= wanted })
         });
+        let counts: Counts = played.counts.iter().copied().sum();
+        let most = [
+            ("attempts at gone or cut-off servers", script.expect.attempts_lost, counts.lost()),
+            ("attempts at bad servers", script.expect.attempts_bad, counts.bad),
+            ("connections opened", script.expect.connects, counts.connects),
+            ("calls to discovery that failed", script.expect.list_calls_failed, counts.list_calls_failed),
+        ];
+        // On sockets nobody counts them.
+        let counted = !played.counts.is_empty();
+        let most = most.into_iter().filter_map(|(what, wanted, got)| {
+            let wanted = wanted.filter(|_| counted)?;
+            let what = format!("{what}, at most");
+            Some(Check { what, wanted: wanted as f64, got: got as f64, held: got <= wanted })
+        });
         let broken: u64 = played.verdict.broken.iter().sum();
         let rules = Check { what: "rules broken".into(), wanted: 0.0, got: broken as f64, held: broken == 0 };
         let incidents = script.incidents.iter().map(|incident| Mark {
             from_s: incident.at.as_secs_f64(),
             to_s: (incident.at + incident.over).as_secs_f64(),
             what: format!(
-                "{} from {} for {}",
+                "{}{} from {} for {}",
                 words(&incident.what),
+                incident.zone.map_or_else(String::new, |zone| format!(" in {}", script.zones[zone])),
                 time_text(incident.at),
                 time_text(incident.over)
             ),
@@ -80,7 +96,7 @@
             seed: script.seed,
             partial: false,
             incidents: incidents.collect(),
-            checks: std::iter::once(rules).chain(least).collect(),
+            checks: std::iter::once(rules).chain(least).chain(most).collect(),
             played,
         }
     }
@@ -116,6 +132,17 @@
         let (fetched, turned_away) = self.played.fetches;
         row("fetches, turned away", format!("{fetched}, {turned_away}"));
         row("most waiting at the origin", self.played.origin_queue.to_string());
+        if !self.played.counts.is_empty() {
+            let sum: Counts = self.played.counts.iter().copied().sum();
+            let met = [sum.well, sum.cold, sum.bad, sum.draining, sum.gone, sum.silent];
+            row(
+                "met well, cold, bad, draining, gone, cut off",
+                met.map(|count| count.to_string()).join(", "),
+            );
+            row("connections opened, failed", format!("{}, {}", sum.connects, sum.connects_failed));
+            let lists = [sum.list_calls, sum.list_calls_failed, sum.list_lines];
+            row("calls for lists, failed, lines", lists.map(|count| count.to_string()).join(", "));
+        }
         row("rules broken, 1 to 4", verdict.broken.map(|count| count.to_string()).join(", "));
         if let Some(column) = table.column_mut(1) {
             column.set_cell_alignment(CellAlignment::Right);
@@ -196,5 +223,6 @@
         Trouble::Surge { factor } => format!("traffic times {factor}"),
         Trouble::SlowOrigin { factor } => format!("origin slower by {factor}"),
         Trouble::DiscoveryAway => "discovery away".into(),
+        Trouble::DiscoveryBreaks { rate } => format!("{} of discovery's answers broken", part(*rate)),
     }
 }
--- a/crates/rig/src/scenarios.rs
+++ b/crates/rig/src/scenarios.rs
@@ -33,6 +33,9 @@
     "reload-storm",
     "mass-restart",
     "power-cut",
+    "mass-kill",
+    "lost-zone",
+    "mass-replacement",
 ];
 
 /// What is played where nothing is named: a part of everything.
@@ -55,7 +58,7 @@
                 Script::parse(scenario.name, scenario.text).unwrap_or_else(|faults| panic!("{faults:?}"));
             assert_eq!(script.name, scenario.name);
             assert!(script.expect.service.is_some() && !script.about.is_empty(), "{}", scenario.name);
-            assert!(scenario.text.lines().count() <= 60, "{} is longer than a page", scenario.name);
+            assert!(scenario.text.lines().count() <= 80, "{} is longer than a page", scenario.name);
         }
         assert!(named(DEFAULT).is_some());
     }
--- a/crates/rig/src/script/file.rs
+++ b/crates/rig/src/script/file.rs
@@ -46,7 +46,7 @@
         about: top.text("about", "text", |_| true).unwrap_or_default(),
         seed: top.count("seed", 0..=u64::MAX).unwrap_or(base.seed),
         length,
-        zones,
+        zones: zones.clone(),
         nodes: top.count("nodes", 1..=MOST_NODES).map_or(base.nodes, |n| n as u32),
         boxes: if boxes.is_empty() { base.boxes } else { boxes },
         classes: if classes.is_empty() { base.classes } else { classes },
@@ -58,7 +58,7 @@
         front_notice: top.time("front_notice", INSTANT).unwrap_or(base.front_notice),
         reports: top.table("reports", |t| reports(t, &base.reports)).unwrap_or(base.reports),
         rules: top.table("rules", |t| rules(t, &base.rules)).unwrap_or(base.rules),
-        incidents: incidents(top, length),
+        incidents: incidents(top, length, &zones),
         expect: top.table("expect", expect).unwrap_or_default(),
     };
     let total: u64 = script.boxes.iter().map(|kind| u64::from(kind.count)).sum();
@@ -195,10 +195,14 @@
         service: t.number("service", SHARE),
         worst_window: t.number("worst_window", SHARE),
         worst_class: t.number("worst_class", SHARE),
+        attempts_lost: t.count("attempts_lost", 0..=u64::MAX),
+        attempts_bad: t.count("attempts_bad", 0..=u64::MAX),
+        connects: t.count("connects", 0..=u64::MAX),
+        list_calls_failed: t.count("list_calls_failed", 0..=u64::MAX),
     }
 }
 
-const KINDS: [&str; 17] = [
+const KINDS: [&str; 18] = [
     "shrink",
     "deploy",
     "restart-nodes",
@@ -216,9 +220,16 @@
     "surge",
     "slow-origin",
     "discovery-away",
+    "discovery-breaks",
 ];
 
-fn incidents(top: &Table, length: Duration) -> Vec<Incident> {
+/// Those that strike a share of the cache servers or nodes, and may be told to strike one zone's.
+fn has_place(kind: &str) -> bool {
+    !matches!(kind, "hot-keys" | "surge" | "slow-origin" | "discovery-away" | "discovery-breaks")
+}
+
+fn incidents(top: &Table, length: Duration, zones: &[String]) -> Vec<Incident> {
+    let zones: Vec<&str> = zones.iter().map(String::as_str).collect();
     let mut before = Duration::ZERO;
     let read = top.tables("incident", |t| {
         let at = t.need("at", t.time("at", Duration::ZERO..=length));
@@ -232,7 +243,9 @@
         let over = t.need("over", t.time("over", Duration::ZERO..=length));
         let kind = t.word("kind", &KINDS);
         t.need("kind", kind.map(|_| ()));
-        Some(Incident { at, over, what: trouble(t, kind?) })
+        let kind = kind?;
+        let zone = if has_place(KINDS[kind]) { t.word("zone", &zones) } else { None };
+        Some(Incident { at, over, zone, what: trouble(t, kind) })
     });
     read.into_iter().flatten().collect()
 }
@@ -274,6 +287,7 @@
         }
         "surge" => Trouble::Surge { factor: factor() },
         "slow-origin" => Trouble::SlowOrigin { factor: factor() },
+        "discovery-breaks" => Trouble::DiscoveryBreaks { rate: rate() },
         _ => Trouble::DiscoveryAway,
     }
 }
--- a/crates/rig/src/script/mod.rs
+++ b/crates/rig/src/script/mod.rs
@@ -222,6 +222,8 @@
     pub at: Duration,
     /// How long it lasts.
     pub over: Duration,
+    /// Where: a place in [`Script::zones`], whose cache servers or nodes its share is a part of. `None` for all.
+    pub zone: Option<usize>,
     /// What happens.
     pub what: Trouble,
 }
@@ -340,6 +342,11 @@
     },
     /// Discovery answers nobody.
     DiscoveryAway,
+    /// Discovery breaks a part of its answers off, or sends what can't be read; they cost it as much as good ones.
+    DiscoveryBreaks {
+        /// Which part.
+        rate: f64,
+    },
 }
 
 /// What the play must come to; parts from 0 to 1.
@@ -351,6 +358,14 @@
     pub worst_window: Option<f64>,
     /// Least service of any class.
     pub worst_class: Option<f64>,
+    /// Most attempts at servers that are gone or cut off, by all nodes in the whole run. In virtual time.
+    pub attempts_lost: Option<u64>,
+    /// Most attempts at bad servers, likewise.
+    pub attempts_bad: Option<u64>,
+    /// Most connections opened to cache servers, likewise.
+    pub connects: Option<u64>,
+    /// Most calls to discovery that failed, of all nodes in the whole run. In virtual time.
+    pub list_calls_failed: Option<u64>,
 }
 
 impl Script {
--- a/crates/rig/src/simulate/attempts.rs
+++ b/crates/rig/src/simulate/attempts.rs
@@ -40,6 +40,9 @@
             return Some(self.outcome(request, attempt, Ended::without_answer(Status::Ignored)));
         }
         let kept = self.kept(node, host, request, attempt);
+        let met = self.met(host);
+        self.count().attempt(met);
+        self.count().connects += u64::from(kept.is_none());
         self.tries[request].attempts.push(Attempt {
             host,
             process: kept.as_ref().map(|(kept, _)| kept.process),
@@ -67,8 +70,10 @@
         let full = alive.is_none_or(|process| self.is_full(host, process));
         if !condition.reachable || handshake > network.connect_timeout {
             let at = self.now + network.connect_timeout;
+            self.count().connects_failed += 1;
             self.fail_later(at, request, attempt);
         } else if full {
+            self.count().connects_failed += 1;
             self.fail_later(self.now + trip, request, attempt);
         } else {
             self.tries[request].attempts[attempt].process = alive;
--- a/crates/rig/src/simulate/discovery.rs
+++ b/crates/rig/src/simulate/discovery.rs
@@ -54,14 +54,14 @@
             return;
         }
         self.nodes[node].calling = true;
+        self.count().list_calls += 1;
         if !self.discovery_up {
             return self.agenda.put(self.now + CALL_ENDS, What::Told { node, life, ok: false });
         }
         match seq {
             Some(seq) if seq >= self.discovery_seq => {
                 // It waits, at the cost of the call.
-                self.discovery_free =
-                    self.discovery_free.max(self.now) + self.lines(self.script.discovery.call_lines);
+                self.charge(self.script.discovery.call_lines);
                 let state = &mut self.nodes[node];
                 (state.calling, state.watching) = (false, true);
             }
@@ -81,10 +81,19 @@
         let (at, timeout) =
             (self.discovery_free.max(self.now) + self.lines(lines), self.script.discovery.timeout);
         if at.since(self.now) > timeout {
+            // It never has its turn, and costs nothing.
             return self.agenda.put(self.now + timeout, What::Told { node, life, ok: false });
         }
-        self.discovery_free = at;
-        self.agenda.put(at, What::Told { node, life, ok: true });
+        self.charge(lines);
+        self.told += 1;
+        let ok = self.draw.on(0x6c69_7374).on(self.told).unit() >= self.breaks;
+        self.agenda.put(at, What::Told { node, life, ok });
+    }
+
+    /// Takes so many lines of what discovery can send.
+    fn charge(&mut self, lines: f64) {
+        self.discovery_free = self.discovery_free.max(self.now) + self.lines(lines);
+        self.count().list_lines += lines as u64;
     }
 
     pub(super) fn told(&mut self, node: usize, life: u32, ok: bool) {
@@ -94,6 +103,7 @@
         self.nodes[node].calling = false;
         if !ok || !self.discovery_up {
             self.nodes[node].failures += 1;
+            self.count().list_calls_failed += 1;
             return self.decide(node, Event::Servers(ServerList::Unavailable));
         }
         let seq = self.nodes[node].seq.replace(self.discovery_seq);
--- a/crates/rig/src/simulate/mod.rs
+++ b/crates/rig/src/simulate/mod.rs
@@ -14,6 +14,7 @@
 use self::agenda::{Agenda, What};
 use self::nodes::request_id;
 use crate::conduct;
+use crate::counts::{Counts, Met};
 use crate::demand::{Ask, Demand};
 use crate::draw::Draw;
 use crate::fleet;
@@ -79,6 +80,8 @@
     pub log_lines: u64,
     /// The world at the end of each second.
     pub samples: Vec<Sample>,
+    /// What all nodes did to the fleet, by second; empty on sockets, where nobody sees it all.
+    pub counts: Vec<Counts>,
 }
 
 /// The world at one moment.
@@ -152,6 +155,7 @@
         origin_queue: play.origin_queue,
         log_lines: play.log_lines,
         samples: play.samples,
+        counts: play.counts,
     }
 }
 
@@ -198,6 +202,7 @@
     list: BTreeMap<usize, ServerEntry>,
     /// By host: idle connections, the one used last stands last.
     pool: BTreeMap<usize, Vec<Kept>>,
+    /// Version of its list, which outlives it where the platform starts it.
     seq: Option<u64>,
     calling: bool,
     watching: bool,
@@ -294,6 +299,10 @@
     log_lines: u64,
     samples: Vec<Sample>,
     sampled_misses: u64,
+    counts: Vec<Counts>,
+    /// Of discovery's answers, this part breaks off or can't be read; and how many there have been.
+    breaks: f64,
+    told: u64,
 }
 
 impl<'a> Play<'a> {
@@ -337,6 +346,9 @@
             log_lines: 0,
             samples: Vec::new(),
             sampled_misses: 0,
+            counts: vec![Counts::default(); script.length.as_secs_f64().ceil() as usize],
+            breaks: 0.0,
+            told: 0,
         };
         for seat in 0..fleet::seats(script) {
             play.seats.push(seat);
@@ -358,7 +370,8 @@
                 open: BTreeSet::new(),
                 list: (0..play.hosts.len()).map(|host| (host, play.entry(host))).collect(),
                 pool: BTreeMap::new(),
-                seq: None,
+                // The list that it starts with is today's.
+                seq: Some(play.discovery_seq),
                 calling: false,
                 watching: false,
                 failures: 0,
@@ -379,6 +392,28 @@
         conduct::client_way(&self.script.network, draw)
     }
 
+    /// The counts of this second; what comes after the last belongs to that.
+    fn count(&mut self) -> &mut Counts {
+        let last = self.counts.len() - 1;
+        let second = self.since_start().as_secs() as usize;
+        &mut self.counts[second.min(last)]
+    }
+
+    /// The state that an attempt at this host meets.
+    fn met(&self, host: usize) -> Met {
+        let Host { seat, process, .. } = &self.hosts[host];
+        let condition = &self.conditions[*seat];
+        let alive = process.map(|process| &self.processes[process]).filter(|process| process.alive);
+        match alive {
+            _ if !condition.reachable => Met::Silent,
+            None => Met::Gone,
+            Some(process) if process.server.drains() => Met::Draining,
+            _ if condition.errors > 0.0 || condition.resets > 0.0 => Met::Bad,
+            Some(process) if process.server.warmth(self.now) < 1.0 => Met::Cold,
+            _ => Met::Well,
+        }
+    }
+
     fn since_start(&self) -> Duration {
         self.now.since(Timestamp::default())
     }
@@ -503,6 +538,7 @@
             Change::RestartNode { node, killed, down } => self.restart(node, killed, down),
             Change::Origin { factor } => self.origin.slow_down(factor),
             Change::Discovery { up } => self.discovery(up),
+            Change::DiscoveryBreaks { rate } => self.breaks = rate,
         }
     }
 }
--- a/crates/rig/src/simulate/nodes.rs
+++ b/crates/rig/src/simulate/nodes.rs
@@ -145,7 +145,9 @@
         let state = &mut self.nodes[node];
         (state.decide, state.life, state.up, state.leaving) = (decide, life, true, false);
         state.reloads = 0;
-        (state.seq, state.calling, state.watching, state.failures) = (None, false, false, 0);
+        // From an operator's file it begins with no list that it could ask for changes of.
+        state.seq = state.seq.filter(|_| !self.script.operated());
+        (state.calling, state.watching, state.failures) = (false, false, 0);
         let list: Vec<_> = state.list.values().cloned().collect();
         self.ledger.note(Fact::Started { node });
         self.decide(node, Event::Restored(list.into()));
--- a/crates/rig/src/timeline.rs
+++ b/crates/rig/src/timeline.rs
@@ -5,6 +5,7 @@
 //! strike one seat together, what holds is worked out here: the end of one is not the end of the others.
 
 use crate::draw::Draw;
+use crate::fleet;
 use crate::script::{Script, Trouble};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -80,6 +81,11 @@
         /// Whether it does.
         up: bool,
     },
+    /// This part of discovery's answers breaks off or can't be read.
+    DiscoveryBreaks {
+        /// Which part.
+        rate: f64,
+    },
 }
 
 /// What incidents do to the cache server in a seat, and to the network before it.
@@ -154,6 +160,10 @@
     OriginAgain,
     DiscoveryAway,
     DiscoveryAgain,
+    DiscoveryBreaks {
+        rate: f64,
+    },
+    DiscoveryWhole,
     /// It touches nothing that another could hold back.
     Plain(Change),
 }
@@ -177,6 +187,7 @@
     seats: BTreeMap<usize, Seat>,
     origin: BTreeMap<usize, f64>,
     discovery: BTreeMap<usize, ()>,
+    breaks: BTreeMap<usize, f64>,
 }
 
 #[derive(Default)]
@@ -251,6 +262,14 @@
                 self.discovery.remove(&incident);
                 self.discovery.is_empty().then_some(Change::Discovery { up: true })
             }
+            Step::DiscoveryBreaks { rate } => {
+                self.breaks.insert(incident, rate);
+                Some(self.breaks())
+            }
+            Step::DiscoveryWhole => {
+                self.breaks.remove(&incident);
+                Some(self.breaks())
+            }
         }
     }
 
@@ -260,6 +279,11 @@
         Change::Condition { seat, condition }
     }
 
+    fn breaks(&self) -> Change {
+        let whole: f64 = self.breaks.values().map(|rate| 1.0 - rate).product();
+        Change::DiscoveryBreaks { rate: 1.0 - whole }
+    }
+
     fn origin(&self) -> Change {
         Change::Origin { factor: self.origin.values().product() }
     }
@@ -267,12 +291,16 @@
 
 /// What each incident does by itself, with its number.
 fn steps(script: &Script) -> Vec<(Duration, usize, Step)> {
-    let seats = script.boxes.iter().map(|kind| kind.count as usize).sum::<usize>();
+    let (seats, nodes) = (fleet::seats(script), script.nodes as usize);
     let mut all = Vec::new();
     for (i, incident) in script.incidents.iter().enumerate() {
         let draw = Draw::new(script.seed).on(0x7469_6d65).on(i as u64);
         let (at, over, end) = (incident.at, incident.over, incident.at + incident.over);
-        let pick = |of: usize, share: f64| picked(draw, of, share);
+        // Nodes and seats are dealt out over the zones alike.
+        let here = |of: usize| {
+            (0..of).filter(|i| incident.zone.is_none_or(|zone| i % script.zones.len() == zone)).collect()
+        };
+        let pick = |of: usize, share: f64| picked(draw, here(of), share);
         let mut add = |at: Duration, step: Step| all.push((at, i, step));
         let mut hold = |share: f64, condition: Condition| {
             for seat in pick(seats, share) {
@@ -312,7 +340,6 @@
                 }
             }
             Trouble::RestartNodes { share, batch, down, killed } => {
-                let nodes = script.nodes as usize;
                 for (at, batch) in batches(pick(nodes, share), nodes, batch, at, over) {
                     for node in batch {
                         add(at, Step::Plain(Change::RestartNode { node, killed, down }));
@@ -320,7 +347,6 @@
                 }
             }
             Trouble::Upgrade { share, batch } => {
-                let nodes = script.nodes as usize;
                 for (at, batch) in batches(pick(nodes, share), nodes, batch, at, over) {
                     for node in batch {
                         add(at, Step::Plain(Change::UpgradeNode { node }));
@@ -328,7 +354,7 @@
                 }
             }
             Trouble::Reload { share, times } => {
-                for node in pick(script.nodes as usize, share) {
+                for node in pick(nodes, share) {
                     for turn in 0..times {
                         let at = at + over.mul_f64(f64::from(turn) / f64::from(times));
                         add(at, Step::Plain(Change::ReloadNode { node }));
@@ -354,6 +380,10 @@
                 add(at, Step::DiscoveryAway);
                 add(end, Step::DiscoveryAgain);
             }
+            Trouble::DiscoveryBreaks { rate } => {
+                add(at, Step::DiscoveryBreaks { rate });
+                add(end, Step::DiscoveryWhole);
+            }
             // These are the clients' doing.
             Trouble::HotKeys { .. } | Trouble::Surge { .. } => {}
         }
@@ -361,11 +391,11 @@
     all
 }
 
-/// This share of so many, rounded up, in an order of chance.
-fn picked(draw: Draw, of: usize, share: f64) -> Vec<usize> {
-    let mut all: Vec<usize> = (0..of).collect();
+/// This share of them, rounded up, in an order of chance.
+fn picked(draw: Draw, mut all: Vec<usize>, share: f64) -> Vec<usize> {
+    let most = (all.len() as f64 * share).ceil() as usize;
     all.sort_by_key(|&i| (draw.on(i as u64).bits(), i));
-    all.truncate((of as f64 * share).ceil() as usize);
+    all.truncate(most);
     all
 }
 
@@ -393,7 +423,7 @@
     }
 
     fn incident(at: u64, over: u64, what: Trouble) -> Incident {
-        Incident { at: Duration::from_secs(at), over: Duration::from_secs(over), what }
+        Incident { at: Duration::from_secs(at), over: Duration::from_secs(over), zone: None, what }
     }
 
     #[test]
@@ -547,6 +577,35 @@
         assert_eq!(all, expected);
     }
 
+    #[test]
+    fn an_incident_of_one_zone_strikes_all_of_that_zone_and_nothing_else() {
+        let crash = Incident { zone: Some(1), ..incident(5, 5, Trouble::Crash { share: 1.0 }) };
+        let killed = Trouble::RestartNodes { share: 1.0, batch: 1.0, down: Duration::ZERO, killed: true };
+        let nodes = Incident { zone: Some(1), ..incident(6, 0, killed) };
+        let script = script(vec![crash, nodes]);
+        let (mut seats, mut hit) = (Vec::new(), Vec::new());
+        for (_, change) in changes(&script) {
+            match change {
+                Change::Stop { seat } => seats.push(seat),
+                Change::RestartNode { node, .. } => hit.push(node),
+                _ => {}
+            }
+        }
+        seats.sort_unstable();
+        hit.sort_unstable();
+        assert_eq!(seats, (0..20).filter(|seat| fleet::zone(&script, *seat) == 1).collect::<Vec<_>>());
+        assert_eq!(hit, vec![1, 3, 5, 7, 9, 11]);
+    }
+
+    #[test]
+    fn answers_of_discovery_that_break_off_add_up_and_end_one_by_one() {
+        let breaks = |rate| Trouble::DiscoveryBreaks { rate };
+        let all = changes(&script(vec![incident(1, 6, breaks(0.5)), incident(2, 2, breaks(0.5))]));
+        let all: Vec<_> = all.into_iter().map(|(at, change)| (at.as_secs(), change)).collect();
+        let rate = |rate| Change::DiscoveryBreaks { rate };
+        assert_eq!(all, [(1, rate(0.5)), (2, rate(0.75)), (4, rate(0.5)), (7, rate(0.0))]);
+    }
+
     #[test]
     fn a_switch_forgets_the_connections_of_its_boxes_one_after_the_other() {
         let all = changes(&script(vec![incident(5, 10, Trouble::HalfOpen { share: 0.5 })]));
--- a/crates/rig/src/world/cache_server.rs
+++ b/crates/rig/src/world/cache_server.rs
@@ -153,6 +153,11 @@
         self.draining = true;
     }
 
+    /// Whether it does.
+    pub fn drains(&self) -> bool {
+        self.draining
+    }
+
     /// This part of its requests fails, beside the ordinary part.
     pub fn set_errors(&mut self, rate: f64) {
         self.errors = rate;
--- a/crates/rig/tests/faults.rs
+++ b/crates/rig/tests/faults.rs
@@ -90,7 +90,7 @@
 }
 
 fn incident(at_ms: u64, over_ms: u64, what: Trouble) -> Incident {
-    Incident { at: Duration::from_millis(at_ms), over: Duration::from_millis(over_ms), what }
+    Incident { at: Duration::from_millis(at_ms), over: Duration::from_millis(over_ms), zone: None, what }
 }
 
 #[test]
--- a/crates/rig/tests/judge.rs
+++ b/crates/rig/tests/judge.rs
@@ -137,7 +137,7 @@
 }
 
 fn incident(at: u64, over: u64, what: Trouble) -> Incident {
-    Incident { at: Duration::from_secs(at), over: Duration::from_secs(over), what }
+    Incident { at: Duration::from_secs(at), over: Duration::from_secs(over), zone: None, what }
 }
 
 /// Rules broken, from 1 to 4, and the words of the breaches.
--- a/crates/rig/tests/properties.rs
+++ b/crates/rig/tests/properties.rs
@@ -59,6 +59,7 @@
         (0.1..4.0).prop_map(|factor| Trouble::Surge { factor }),
         (0.1..20.0).prop_map(|factor| Trouble::SlowOrigin { factor }),
         Just(Trouble::DiscoveryAway),
+        share().prop_map(|rate| Trouble::DiscoveryBreaks { rate }),
     ]
 }
 
@@ -75,7 +76,13 @@
 /// A small world in which anything goes wrong at any time.
 fn world() -> impl Strategy<Value = Script> {
     let time = || (0u64..6_000).prop_map(Duration::from_millis);
-    let incident = (time(), time(), trouble()).prop_map(|(at, over, what)| Incident { at, over, what });
+    let zone = prop::option::of(0..2_usize);
+    let incident = (time(), time(), zone, trouble()).prop_map(|(at, over, zone, what)| Incident {
+        at,
+        over,
+        zone,
+        what,
+    });
     let incidents = prop::collection::vec(incident, 0..8);
     let sizes = (any::<u64>(), 1u32..5, 1u32..10, 10.0..150.0);
     let clients = (0u32..4, 0u64..100, 0.0..0.3);
--- a/crates/rig/tests/replay.rs
+++ b/crates/rig/tests/replay.rs
@@ -41,7 +41,7 @@
 fn an_incident_changes_nothing_that_came_before_it() {
     let calm = shipped("calm");
     let what = Trouble::Crash { share: 0.25 };
-    let late = Incident { at: Duration::from_secs(30), over: Duration::from_secs(10), what };
+    let late = Incident { at: Duration::from_secs(30), over: Duration::from_secs(10), zone: None, what };
     let crash = Script { incidents: vec![late], ..calm.clone() };
     let (calm, crash) = (play(&calm).verdict, play(&crash).verdict);
     assert_eq!(calm.seconds[..29], crash.seconds[..29]);
