Doubt lists that cannot be right, and name what is wrong in them and where

Need: a whole list without hosts (also one that lacks the field) took the whole fleet away, a version that went back was taken, and of a list that can't be read the log gave a line and column of JSON. Change: decide::membership judges what discovery tells, without I/O. A doubted list counts as a failed call, so the next comes with back-off; the old list stays. Faults of JSON are named by their path (hosts[1]: missing field health). A ready server without an address takes no work, and changes that name a server twice are merged in their order: before, one that was told ready and gone in one answer stayed in the list that a successor is handed.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -3,6 +3,7 @@
 //! Start from [`Balancer`], fed with [`Event`]s through [`Balancer::handle`], and the [`Settings`] it is made from.
 //! [`handover`] decides who accepts clients while one process takes another's place.
 //! [`asking`] tells how long a node waits before it asks discovery again.
+//! [`membership`] tells which lists of discovery's are taken.
 //! [`hot_keys`] tells over how many servers a key is spread.
 //! [`supervise`] keeps a fleet of instances going. [`platform`] reads settings and load reports as the platform words them.
 
@@ -11,6 +12,7 @@
 pub mod balance;
 pub mod handover;
 pub mod hot_keys;
+pub mod membership;
 pub mod platform;
 pub mod supervise;
 
--- a/crates/node/src/daemon/pools.rs
+++ b/crates/node/src/daemon/pools.rs
@@ -11,6 +11,7 @@
 use crate::listing::Listing;
 use crate::readiness;
 use crate::upstream::{Places, Upstream};
+use decide::membership::Membership;
 use decide::Balancer;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -157,14 +158,14 @@
         let upstream = Rc::new(Upstream::new(self.places.clone(), connecting, idle));
         spawn_local(Upstream::sweep(Rc::downgrade(&upstream)));
         // A watch goes on from the version that the other process had, if it was the same discovery's.
-        let seq = match &recalled {
+        let membership = match &recalled {
             Some(other) if other.discovery.map(Source::Discovery).as_ref() == Some(&pool.source) => {
-                Some(other.listing.seq)
+                Membership::new(Some(other.listing.seq), other.listing.ready())
             }
-            _ => (!known.hosts.is_empty()).then_some(known.seq),
+            _ => Membership::new((!known.hosts.is_empty()).then_some(known.seq), known.ready()),
         };
         let nodes = Rc::new(Cell::new(settings.nodes));
-        let list = List::begin(&pool.source, seq, seed, &nodes, &events, &follow);
+        let list = List::begin(&pool.source, membership, seed, &nodes, &events, &follow);
         let balancer = Balancer::new(settings.clone(), seed);
         let driver = Driver::new(balancer, upstream, follow.clone(), has_servers, events.clone());
         spawn_local(driver.run(known.clone(), inputs));
@@ -190,8 +191,9 @@
             _ if *source == before.source => {}
             _ => {
                 let seed = self.seed.wrapping_add(self.begun);
+                let membership = Membership::default();
                 running.list =
-                    List::begin(source, None, seed, &running.nodes, &running.events, &running.follow);
+                    List::begin(source, membership, seed, &running.nodes, &running.events, &running.follow);
             }
         }
         if *source == Source::Fixed && (before.source != Source::Fixed || known.hosts != before.known.hosts) {
@@ -202,10 +204,10 @@
 }
 
 impl List {
-    /// `seq` is the version that the driver holds of a discovery's list.
+    /// `membership` knows what the driver holds of a discovery's list.
     fn begin(
         source: &Source,
-        seq: Option<u64>,
+        membership: Membership,
         seed: u64,
         nodes: &Rc<Cell<u32>>,
         events: &UnboundedSender<Input>,
@@ -217,7 +219,7 @@
                 let random = fastrand::Rng::with_seed(seed);
                 let (sender, address) = watch::channel(*at);
                 let (nodes, events) = (nodes.clone(), events.clone());
-                let watching = Discovery { address, seq, nodes, random, events };
+                let watching = Discovery { address, membership, nodes, random, events };
                 Self::Discovery(sender, spawn_local(watching.run(follow.clone())).abort_handle())
             }
             Source::File(path) => {
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,10 +1,11 @@
 //! The client of discovery: the whole list, the watch on changes, backoff.
 
 use crate::input::Input;
-use crate::listing::Listing;
+use crate::listing::{Listing, Malformed};
 use crate::log::log;
 use bytes::Bytes;
 use decide::asking;
+use decide::membership::{Doubt, Membership};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HOST;
@@ -30,6 +31,8 @@
 /// The same for a call that has nothing to wait for but its turn.
 const LIST: Duration = Duration::from_millis(3500);
 const CONNECT: Duration = Duration::from_secs(2);
+/// What is odd in a list is logged so often for each.
+const REMARKS: usize = 3;
 /// A list longer than this is no list.
 const LARGEST: usize = 8 << 20;
 
@@ -45,8 +48,10 @@
     Body(#[from] Box<dyn std::error::Error + Send + Sync>),
     #[error("answered {0}")]
     Status(StatusCode),
-    #[error("not a list: {0}")]
-    Malformed(#[from] serde_json::Error),
+    #[error("{0}")]
+    Malformed(#[from] Malformed),
+    #[error("list not taken: {0}")]
+    Doubt(#[from] Doubt),
     #[error("no answer in time")]
     Overdue,
 }
@@ -67,8 +72,8 @@
 pub struct Discovery {
     /// Where it answers. A new address ends what was going on at the old one.
     pub address: watch::Receiver<SocketAddr>,
-    /// Version of the list held; `None` where none is.
-    pub seq: Option<u64>,
+    /// Judges what it tells.
+    pub membership: Membership,
     /// How many nodes ask it, as the settings have it by now.
     pub nodes: Rc<Cell<u32>>,
     pub random: fastrand::Rng,
@@ -89,7 +94,7 @@
                 () = self.watch_at(at, &follow, told) => return,
                 moved = address.changed() => if moved.is_err() { return },
             }
-            self.seq = None;
+            self.membership.moved();
             told = true;
         }
     }
@@ -104,16 +109,15 @@
             if failures > 0 {
                 // Nodes that lost the same discovery together must not come back together.
                 let draw = self.random.f64();
-                sleep(asking::wait(self.nodes.get(), failures, self.seq.is_some(), draw)).await;
+                sleep(asking::wait(self.nodes.get(), failures, self.asks_for_changes(), draw)).await;
             }
             let mut link = None;
             loop {
-                let limit = if self.seq.is_some() { WATCH + OVERDUE } else { LIST };
+                let limit = if self.asks_for_changes() { WATCH + OVERDUE } else { LIST };
                 let called = timeout(limit, self.call(address, &mut link)).await;
-                match called.unwrap_or(Err(CallError::Overdue)) {
+                match called.unwrap_or(Err(CallError::Overdue)).and_then(|listing| self.judged(listing)) {
                     Ok(listing) => {
                         failures = 0;
-                        self.seq = Some(listing.seq);
                         if self.events.send(Input::Listing(listing)).is_err() {
                             return;
                         }
@@ -131,6 +135,22 @@
         }
     }
 
+    fn asks_for_changes(&self) -> bool {
+        self.membership.asks_after().is_some()
+    }
+
+    /// The list, if it is one to be taken.
+    fn judged(&mut self, listing: Listing) -> Result<Listing, CallError> {
+        let remarks = self.membership.judge(listing.seq, listing.whole, &listing.listed())?;
+        for remark in remarks.iter().take(REMARKS) {
+            log!("discovery: {remark}");
+        }
+        if let Some(more) = remarks.len().checked_sub(REMARKS).filter(|more| *more > 0) {
+            log!("discovery: {more} more like these");
+        }
+        Ok(listing)
+    }
+
     async fn call(&self, address: SocketAddr, link: &mut Option<Link>) -> Result<Listing, CallError> {
         // A kept connection that discovery has closed meanwhile is no failure of the call.
         let usable = match link {
@@ -144,7 +164,7 @@
             Some(link) => link,
             None => link.insert(connect(address).await?),
         };
-        let path = match self.seq {
+        let path = match self.membership.asks_after() {
             Some(seq) => format!("/v1/servers?after={seq}&wait_ms={}", WATCH.as_millis()),
             None => "/v1/servers".to_owned(),
         };
@@ -154,7 +174,7 @@
             return Err(CallError::Status(response.status()));
         }
         let body = Limited::new(response.into_body(), LARGEST).collect().await?.to_bytes();
-        Ok(serde_json::from_slice(&body)?)
+        Ok(Listing::read(&body)?)
     }
 }
 
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -1,8 +1,21 @@
 //! The list of cache servers in discovery's words, and as the module's.
 
+use decide::membership::Listed;
 use decide::{Availability, ServerEntry, Timestamp};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use thiserror::Error;
+
+/// What is no list.
+#[derive(Debug, Error)]
+pub enum Malformed {
+    /// Where, and what was expected there.
+    #[error("not a list: {0}")]
+    At(#[from] serde_path_to_error::Error<serde_json::Error>),
+    /// Two lists in one answer are none.
+    #[error("not a list: {0}")]
+    After(#[from] serde_json::Error),
+}
 
 /// Discovery's answer: the whole list, or what changed.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
@@ -35,14 +48,55 @@
             return;
         }
         self.seq = news.seq;
+        // One after the other: a server may stand twice among changes.
         for host in &news.hosts {
             self.hosts.retain(|other| other.host != host.host);
+            self.hosts.extend(Some(host).filter(|host| host.health != "gone").cloned());
         }
-        self.hosts.extend(news.hosts.iter().filter(|host| host.health != "gone").cloned());
+    }
+
+    /// Reads discovery's answer.
+    pub fn read(body: &[u8]) -> Result<Self, Malformed> {
+        let mut json = serde_json::Deserializer::from_slice(body);
+        let listing = serde_path_to_error::deserialize(&mut json)?;
+        json.end()?;
+        Ok(listing)
+    }
+
+    /// Its entries, as far as it matters to whether it is taken.
+    pub fn listed(&self) -> Vec<Listed<'_>> {
+        self.hosts.iter().map(Host::listed).collect()
+    }
+
+    /// The servers of a whole list that take work.
+    pub fn ready(&self) -> impl Iterator<Item = String> + '_ {
+        let ready = self.hosts.iter().filter(|host| host.availability() == Availability::Ready);
+        ready.map(|host| host.host.clone())
     }
 }
 
 impl Host {
+    fn told(&self) -> Availability {
+        match self.health.as_str() {
+            "ready" => Availability::Ready,
+            "gone" => Availability::Gone,
+            // Draining, or a state that this version does not know: keep away from that server.
+            _ => Availability::Draining,
+        }
+    }
+
+    /// As it is told, but that a server which nobody knows the way to takes no work.
+    fn availability(&self) -> Availability {
+        match self.told() {
+            Availability::Ready if self.dial.is_none() => Availability::Draining,
+            told => told,
+        }
+    }
+
+    fn listed(&self) -> Listed<'_> {
+        Listed { name: &self.host, state: self.told(), has_address: self.dial.is_some() }
+    }
+
     /// The entry as the module knows it.
     pub fn entry(&self) -> ServerEntry {
         let started = self.born_ms.filter(|&at| at > 0);
@@ -51,14 +105,82 @@
             zone: self.site.as_deref().map(Into::into),
             kind: self.class.as_deref().map(Into::into),
             cell: self.block.unwrap_or(0),
-            availability: match self.health.as_str() {
-                "ready" => Availability::Ready,
-                "gone" => Availability::Gone,
-                // Draining, or a state that this version does not know: keep away from that server.
-                _ => Availability::Draining,
-            },
+            availability: self.availability(),
             weight: self.share.filter(|share| share.is_finite() && *share >= 0.0).unwrap_or(1.0),
             started: started.map(|ms| Timestamp::from_micros(ms.saturating_mul(1000))),
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const LIST: &str = r#"{"seq":41,"whole":true,"hosts":[{"host":"s-1","dial":"127.0.0.1:7070","site":"a","class":"m2",
+        "block":3,"health":"ready","share":1.0,"born_ms":0},{"host":"s-2","dial":null,"health":"gone"}]}"#;
+
+    fn problem(text: &str) -> String {
+        Listing::read(text.as_bytes()).expect_err("no list").to_string()
+    }
+
+    #[test]
+    fn a_list_that_is_cut_off_anywhere_is_none() {
+        assert_eq!(Listing::read(LIST.as_bytes()).expect("a list").hosts.len(), 2);
+        for cut in 0..LIST.len() {
+            assert!(Listing::read(&LIST.as_bytes()[..cut]).is_err(), "cut at {cut}");
+        }
+    }
+
+    #[test]
+    fn what_is_wrong_is_named_with_its_place() {
+        let cases = [
+            ("\"health\":\"gone\"", "\"share\":2", "hosts[1]: missing field `health`"),
+            ("\"host\":\"s-2\",", "", "hosts[1]: missing field `host`"),
+            ("127.0.0.1:7070", "nowhere", "hosts[0].dial: invalid socket address syntax"),
+            ("\"seq\":41", "\"seq\":-1", "seq: invalid value: integer `-1`, expected u64"),
+            ("\"whole\":true,", "", "missing field `whole`"),
+            ("\"block\":3", "\"block\":1e400", "number out of range"),
+        ];
+        for (from, to, words) in cases {
+            assert!(LIST.contains(from), "{from}");
+            let found = problem(&LIST.replace(from, to));
+            assert!(found.contains(words), "{found}; expected {words}");
+        }
+        assert!(problem(&format!("{LIST}{LIST}")).contains("trailing characters"));
+        assert!(problem("").contains("EOF"));
+        assert!(problem("[]").starts_with("not a list: "));
+    }
+
+    #[test]
+    fn changes_are_merged_in_their_order_and_a_ready_server_without_an_address_takes_no_work() {
+        let mut list = Listing::read(LIST.as_bytes()).expect("a list");
+        list.hosts.truncate(1);
+        let change = |health: &str| Host { health: health.into(), ..list.hosts[0].clone() };
+        let hosts = vec![change("draining"), change("gone")];
+        let mut gone = list.clone();
+        gone.merge(&Listing { seq: 42, whole: false, hosts });
+        assert_eq!((gone.seq, gone.hosts.len()), (42, 0));
+        let lost = Host { dial: None, ..change("ready") };
+        assert_eq!(lost.entry().availability, Availability::Draining);
+        list.merge(&Listing { seq: 42, whole: false, hosts: vec![change("gone"), lost] });
+        assert_eq!((list.hosts.len(), list.ready().count()), (1, 0));
+    }
+
+    proptest! {
+        #[test]
+        fn any_bytes_are_a_list_or_an_error(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+            let _ = Listing::read(&bytes);
+        }
+
+        #[test]
+        fn a_list_with_a_stretch_replaced_is_a_list_or_an_error_in_words(from in 0..LIST.len(), length in 0..30_usize, with in ".{0,9}") {
+            let bytes = LIST.as_bytes();
+            let to = (from + length).min(bytes.len());
+            let spoilt = [&bytes[..from], with.as_bytes(), &bytes[to..]].concat();
+            if let Err(error) = Listing::read(&spoilt) {
+                prop_assert!(error.to_string().len() > "not a list: ".len());
+            }
+        }
+    }
+}
