Count over the logs of all nodes: a tally a second in each, added up by pinhead count

Need: what hurts a fleet at size shows in no single log; the counts so far came from scripts that were not kept. Change: each pool's driver adds up its second (answers, repeats, trips, lists told and failed, ends of attempts by server, news of servers) and logs it as one line, bounded at 64 servers; [log] tally in the operator's file, on for the platform's node. pinhead count adds lines of all logs up and counts an attempt by what any node had been told of its server by then; bad lines are named by file and line and skipped. Measured: 3 nodes on sockets, 63 reads: 63 served counted, as many at the stand-in; any bytes are counted or skipped.

--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -26,6 +26,8 @@
     pub pools: Vec<Pool>,
     /// How another process may take this one's place; `None` where it may not.
     pub hand_over: Option<HandOver>,
+    /// Whether the log has a line of counts for each second.
+    pub tally: bool,
 }
 
 /// How one process hands over to another.
--- a/crates/node/src/config/operator.rs
+++ b/crates/node/src/config/operator.rs
@@ -149,7 +149,8 @@
     }
     let seed = top.count("seed", 0..=u64::MAX).unwrap_or_else(|| fastrand::u64(..));
     let hand_over = top.table("hand_over", |t| hand_over(t, folder));
-    Config { name: name_of_node, listeners, seed, descriptors, pools, hand_over }
+    let tally = top.table("log", |t| t.flag("tally").unwrap_or(false)).unwrap_or(false);
+    Config { name: name_of_node, listeners, seed, descriptors, pools, hand_over, tally }
 }
 
 /// The descriptors that this process may hold.
@@ -284,6 +285,7 @@
     writeln!(text, "idle = {}\nweights_tell_speed = {}", time(settings.keepalive), settings.sized)?;
     writeln!(text, "cold_share = {:?}\nwarm_within = {}", settings.cold_share, time(settings.warm_within))?;
     writeln!(text, "fall_multiple = {:?}\nfall_span = {}", settings.fall_multiple, time(settings.fall_span))?;
+    writeln!(text, "\n[log]\ntally = {}", config.tally)?;
     if let Some(HandOver { socket, within, probation, bar }) = &config.hand_over {
         let socket = socket.display().to_string();
         writeln!(text, "\n[hand_over]\nsocket = {socket:?}\nwithin = {}", time(*within))?;
--- a/crates/node/src/config/platform.rs
+++ b/crates/node/src/config/platform.rs
@@ -77,6 +77,8 @@
         descriptors: sockets,
         pools: vec![pool],
         hand_over: None,
+        // A line a second, by which the fleet's logs are counted together.
+        tally: true,
     })
 }
 
--- a/crates/node/src/daemon/change.rs
+++ b/crates/node/src/daemon/change.rs
@@ -65,6 +65,9 @@
         if held.hand_over != wanted.hand_over {
             words.push("hand-over changed".into());
         }
+        if held.tally != wanted.tally {
+            words.push(format!("tally {}", if wanted.tally { "on" } else { "off" }));
+        }
         if held.descriptors != wanted.descriptors {
             words.push(format!("{} descriptors", wanted.descriptors));
         }
--- a/crates/node/src/daemon/node.rs
+++ b/crates/node/src/daemon/node.rs
@@ -64,7 +64,7 @@
     /// One that accepts nobody yet.
     pub fn start(config: Config, places: usize, known: Vec<PoolState>) -> Self {
         let upstream = Rc::new(Places::new(places));
-        let pools = Pools::start(config.pools.clone(), upstream.clone(), config.seed, known);
+        let pools = Pools::start(&config, upstream.clone(), known);
         let readiness = Rc::new(Readiness::new(pools.ready()));
         let front = Rc::new(Front::new(pools.routes(), readiness.clone(), config.descriptors, places));
         spawn_local(front.table.clone().sweep());
--- a/crates/node/src/daemon/pools.rs
+++ b/crates/node/src/daemon/pools.rs
@@ -10,6 +10,7 @@
 use crate::list_file;
 use crate::listing::Listing;
 use crate::readiness;
+use crate::tally::Tally;
 use crate::upstream::{Places, Upstream};
 use decide::membership::Membership;
 use decide::Balancer;
@@ -24,6 +25,9 @@
 pub struct Pools {
     running: Vec<Running>,
     places: Rc<Places>,
+    /// The node's name, and whether its pools tally what they do.
+    node: String,
+    tally: Rc<Cell<bool>>,
     seed: u64,
     /// How many there have been, so that each draws numbers of its own.
     begun: u64,
@@ -71,9 +75,10 @@
 
 impl Pools {
     /// Begins them, with what another process knew of them.
-    pub fn start(pools: Vec<Pool>, places: Rc<Places>, seed: u64, mut known: Vec<PoolState>) -> Self {
-        let mut all = Self { running: Vec::new(), places, seed, begun: 0 };
-        for pool in pools {
+    pub fn start(config: &Config, places: Rc<Places>, mut known: Vec<PoolState>) -> Self {
+        let (node, tally) = (config.name.clone(), Rc::new(Cell::new(config.tally)));
+        let mut all = Self { running: Vec::new(), places, node, tally, seed: config.seed, begun: 0 };
+        for pool in config.pools.iter().cloned() {
             let place = known.iter().position(|known| known.name == pool.name);
             let running = all.begin(pool, place.map(|place| known.swap_remove(place)));
             all.running.push(running);
@@ -109,6 +114,7 @@
 
     /// Takes on what a new configuration says. A pool that it lacks takes nothing more and ends with its last request.
     pub fn change(&mut self, change: &Change, config: &Config) {
+        self.tally.set(config.tally);
         let mut before: Vec<_> = std::mem::take(&mut self.running).into_iter().map(Some).collect();
         for (place, pool) in change.pools.iter().zip(&config.pools) {
             let running = match place.and_then(|place| before[place].take()) {
@@ -167,7 +173,8 @@
         let nodes = Rc::new(Cell::new(settings.nodes));
         let list = List::begin(&pool.source, membership, seed, &nodes, &events, &follow);
         let balancer = Balancer::new(settings.clone(), seed);
-        let driver = Driver::new(balancer, upstream, follow.clone(), has_servers, events.clone());
+        let tally = Tally::new(&self.node, &pool.name, self.tally.clone());
+        let driver = Driver::new(balancer, upstream, follow.clone(), has_servers, events.clone(), tally);
         spawn_local(driver.run(known.clone(), inputs));
         let running = Running { pool, events, ready, follow, list, nodes };
         recalled.into_iter().for_each(|recalled| running.recall(recalled));
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -4,12 +4,13 @@
 use crate::input::{Answer, Input, Taken};
 use crate::listing::Listing;
 use crate::log::log;
+use crate::tally::Tally;
 use crate::upstream::{Ended, Message, Upstream};
 use decide::{
     Action, Availability, Balancer, Event, Outcome, Request, RequestId, ServerEntry, ServerId, ServerList,
     Status, Timestamp,
 };
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -37,6 +38,10 @@
         Self { origin: Instant::now(), unix }
     }
 
+    fn now(&self) -> Timestamp {
+        self.at(Instant::now())
+    }
+
     fn at(&self, instant: Instant) -> Timestamp {
         let time = self.unix + instant.saturating_duration_since(self.origin);
         Timestamp::from_micros(u64::try_from(time.as_micros()).unwrap_or(u64::MAX))
@@ -78,6 +83,7 @@
     /// The list as it is by now.
     listing: Listing,
     retired: bool,
+    tally: Tally,
 }
 
 impl Driver {
@@ -88,6 +94,7 @@
         follow: Rc<Notify>,
         ready: watch::Sender<bool>,
         events: UnboundedSender<Input>,
+        tally: Tally,
     ) -> Self {
         Self {
             balancer,
@@ -101,6 +108,7 @@
             due: VecDeque::new(),
             listing: Listing::default(),
             retired: false,
+            tally,
         }
     }
 
@@ -141,6 +149,7 @@
             }
             Input::Ended { id, attempt, ended } => self.ended(id, attempt, ended),
             Input::Listing(listing) => {
+                self.tally.at(self.clock.now()).lists += 1;
                 let entries = self.learn(&listing);
                 let list =
                     if listing.whole { ServerList::Full(entries) } else { ServerList::Changes(entries) };
@@ -164,13 +173,17 @@
             Input::Retired => self.retired = true,
             // Whoever asked may have given up.
             Input::Alive(answer) => drop(answer.send(())),
-            Input::ListingFailed => self.due.push_back(Event::Servers(ServerList::Unavailable)),
+            Input::ListingFailed => {
+                self.tally.at(self.clock.now()).lists_failed += 1;
+                self.due.push_back(Event::Servers(ServerList::Unavailable));
+            }
         }
     }
 
     /// Hands a list to the connections and gives its entries back as the module's. It goes to both in one
     /// step, so that no attempt of the module's can overtake it.
     fn learn(&mut self, listing: &Listing) -> Arc<[ServerEntry]> {
+        self.note_news(listing);
         self.listing.merge(listing);
         let entries: Arc<[ServerEntry]> = listing.hosts.iter().map(|host| host.entry()).collect();
         if listing.whole {
@@ -188,6 +201,25 @@
         entries
     }
 
+    /// Tallies what a list says that was not known. The one that a node starts with is no news.
+    fn note_news(&mut self, listing: &Listing) {
+        if self.listing.hosts.is_empty() {
+            return;
+        }
+        let state = |entry: &ServerEntry| (entry.availability, entry.started);
+        let known = self.listing.hosts.iter().map(|host| host.entry());
+        let mut known: BTreeMap<_, _> = known.map(|entry| (entry.id.clone(), state(&entry))).collect();
+        let line = self.tally.at(self.clock.now());
+        for entry in listing.hosts.iter().map(|host| host.entry()) {
+            if known.remove(&entry.id) != Some(state(&entry)) {
+                line.told(&entry.id, entry.availability, entry.started);
+            }
+        }
+        if listing.whole {
+            known.keys().for_each(|id| line.told(id, Availability::Gone, None));
+        }
+    }
+
     fn request(&mut self, taken: Taken) {
         let id = request_id(taken.ticket);
         let until = taken.at + taken.patience.saturating_sub(MARGIN);
@@ -215,7 +247,10 @@
         };
         sent.task = None;
         let (server, took) = (sent.server.clone(), sent.at.elapsed());
+        let line = self.tally.at(self.clock.now());
+        line.ended(&server, ended.status);
         if let Some(body) = ended.body {
+            line.served += u32::from(open.answer.is_some());
             reply(open, Answer::Served(body));
         }
         let finished = open.answer.is_none();
@@ -260,6 +295,7 @@
     fn guard(&mut self, id: RequestId) {
         let Some(open) = self.open.get_mut(&id).filter(|open| open.answer.is_some()) else { return };
         reply(open, Answer::Failed);
+        self.tally.at(self.clock.now()).failed += 1;
         self.tidy(&id);
         self.due.push_back(Event::Abandoned(id));
     }
@@ -293,7 +329,12 @@
             }
             Action::Close { server } => self.upstream.close_idle(&server),
             Action::Follow => self.follow.notify_one(),
-            Action::Log(text) => log!("{text}"),
+            Action::Log(text) => {
+                // The module tells of its breakers in words only.
+                let trip = text.starts_with("breaker of ") && text.contains(" tripped");
+                self.tally.at(self.clock.now()).trips += u32::from(trip);
+                log!("{text}");
+            }
             // The module never probes where the settings forbid it, as they do wherever this node runs.
             Action::Probe { server } => log!("no probe of {server}: this node sends none"),
         }
@@ -303,6 +344,7 @@
         let Some(open) = self.open.get_mut(&id) else { return };
         let (at, attempt) = (Instant::now(), open.attempts.len() as u32);
         let until = open.until.min(at + timeout);
+        self.tally.at(self.clock.at(at)).repeats += u32::from(attempt > 0);
         let (upstream, events) = (self.upstream.clone(), self.events.clone());
         let (message, over) = (open.message.clone(), open.answer.is_none());
         let target = server.clone();
@@ -320,6 +362,14 @@
 
     fn finish(&mut self, id: &RequestId, answer: Answer) {
         if let Some(open) = self.open.get_mut(id) {
+            let line = self.tally.at(self.clock.now());
+            if open.answer.is_some() {
+                *match answer {
+                    Answer::Served(_) => &mut line.served,
+                    Answer::Refused { .. } => &mut line.refused,
+                    Answer::Failed => &mut line.failed,
+                } += 1;
+            }
             reply(open, answer);
             self.tidy(id);
         }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,6 +1,7 @@
 //! `pinhead`: the command line. Without arguments it is the platform's node.
 
 mod config;
+mod count;
 mod daemon;
 mod discovery;
 mod driver;
@@ -15,6 +16,7 @@
 mod readiness;
 mod rehearse;
 mod stage;
+mod tally;
 mod upstream;
 
 use crate::config::operator;
@@ -49,6 +51,8 @@
         /// The file
         file: PathBuf,
     },
+    /// Adds up the tallies of many nodes' logs, second by second
+    Count(count::Arguments),
     /// Plays an incident with the real decisions, and judges it
     Rehearse(rehearse::Arguments),
 }
@@ -59,6 +63,7 @@
 fn main() -> ExitCode {
     match Arguments::parse().command {
         Some(Command::Rehearse(arguments)) => rehearse::run(arguments),
+        Some(Command::Count(arguments)) => count::run(&arguments),
         Some(Command::Check { file }) => check(&file),
         Some(Command::Run { config, with_parent }) => served(daemon::start_from(&config, with_parent)),
         Some(Command::Fleet(arguments)) => fleet::run(arguments),
--- /dev/null
+++ b/crates/node/tests/count.rs
@@ -0,0 +1,103 @@
+//! What several nodes did together, counted from their logs.
+
+mod common;
+
+use common::*;
+use serde_json::Value;
+use std::net::TcpListener;
+
+/// What `pinhead count` says of these logs in one row, its exit code, and what it complained of.
+fn counted(logs: &[&str]) -> (Value, i32, String) {
+    let folder = Folder::new();
+    let mut command = command();
+    command.args(["count", "--json", "--every", "86400"]);
+    for (i, log) in logs.iter().enumerate() {
+        command.arg(folder.write(&format!("{i}.log"), log));
+    }
+    let output = ended(command);
+    let rows = String::from_utf8(output.stdout).unwrap();
+    let rows: Vec<Value> = rows.lines().map(|line| serde_json::from_str(line).unwrap()).collect();
+    assert!(rows.len() <= 1, "a play over midnight: {rows:?}");
+    let row = rows.first().map_or(Value::Null, |row| row["row"].clone());
+    (row, output.status.code().unwrap(), String::from_utf8(output.stderr).unwrap())
+}
+
+#[test]
+fn three_nodes_logs_tell_together_who_was_served_and_who_met_nobody() {
+    let good = CacheServer::serving("value");
+    let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let discovery = Discovery::start(&[good.entry("s-1", "ready"), host("s-2", nobody, "ready")]);
+    let nodes: Vec<Node> = (0..3)
+        .map(|i| {
+            let mut config = config(discovery.address);
+            config["name"] = format!("n{i}").into();
+            Node::ready(&config)
+        })
+        .collect();
+    for node in &nodes {
+        for key in 0..20 {
+            assert_eq!(node.read("read", key).status(), 200);
+        }
+    }
+    discovery.tell(false, &[host("s-2", nobody, "gone")]);
+    wait_for("all to be told", || {
+        discovery.asked.lock().unwrap().iter().filter(|path| path.contains("after=2&")).count() == 3
+    });
+    assert!(nodes.iter().all(|node| node.read("read", 1).status() == 200));
+    let logs: Vec<_> = nodes.iter().map(|node| node.log.clone()).collect();
+    for node in nodes {
+        node.terminate();
+        assert!(node.exit().success());
+    }
+    let text = |log: &std::sync::Mutex<Vec<String>>| log.lock().unwrap().join("\n") + "\n";
+    // Each read's line comes after its node's end at the latest.
+    let served = |log: &std::sync::Mutex<Vec<String>>| counted(&[&text(log)]).0["served"].as_u64();
+    logs.iter().for_each(|log| wait_for("a node's last line", || served(log) == Some(21)));
+    let texts: Vec<_> = logs.iter().map(|log| text(log)).collect();
+    let (row, code, complaints) = counted(&texts.iter().map(String::as_str).collect::<Vec<_>>());
+    assert_eq!((code, complaints.as_str()), (0, ""));
+    let of = |name: &str| row[name].as_u64().unwrap();
+    assert_eq!((of("nodes"), of("served"), of("refused"), of("failed")), (3, 63, 0, 0));
+    assert_eq!(good.count(), 63);
+    assert!(of("connect") >= 3, "each met the one that is not there: {row}");
+    assert_eq!(of("repeats"), of("connect"), "{row}");
+    assert!(of("trips") >= 3, "{row}");
+    // Of one row all is counted by what was known at its end of each second.
+    let met: u64 = ["well", "cold", "bad", "draining", "gone"].map(of).iter().sum();
+    assert_eq!(met, 63 + of("connect"));
+}
+
+#[test]
+fn a_bad_line_is_named_by_file_and_line_and_the_rest_is_counted() {
+    let log =
+        "a word\ntally {\"second\":1}\ntally {\"second\":1,\"node\":\"a\",\"pool\":\"p\",\"served\":2}\n";
+    let (row, code, complaints) = counted(&[log]);
+    assert_eq!((row["served"].as_u64(), code), (Some(2), 1));
+    assert!(complaints.contains("0.log:2: no tally: missing field `node`"), "{complaints}");
+    let mut command = command();
+    command.args(["count", "no-such.log"]);
+    let output = ended(command);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8(output.stderr).unwrap().contains("no-such.log: "));
+}
+
+#[test]
+fn an_operators_node_tallies_where_its_file_says_so() {
+    let server = CacheServer::serving("value");
+    let folder = Folder::new();
+    let file = |log: &str| {
+        format!(
+            "version = 1\nseed = 1\n{log}[[listener]]\nname = \"l\"\naddress = \"127.0.0.1:0\"\n[[pool]]\nname = \"p\"\n\
+             [[pool.server]]\nname = \"s-1\"\naddress = \"{}\"\n[[class]]\nname = \"read\"\neffect = \"safe\"\n",
+            server.address
+        )
+    };
+    let node = run(&folder, &file(""));
+    assert_eq!(node.read("read", 1).status(), 200);
+    node.reconfigure(&file("[log]\ntally = true\n"));
+    assert_eq!(node.said("tally on"), 1);
+    wait_for("a tally", || {
+        assert_eq!(node.read("read", 1).status(), 200);
+        node.said("tally {") >= 1
+    });
+}
