Limit likely misses at any number of nodes: an origin that tips over comes back

Ruled out: lists (100 nodes told within the second, no call failed after the first second), gone servers (none met), drains, connections (none failed), the processor (0.01 of a core). At fault: fetched() in balance.rs judged the origin only where limit_start > 1, under 16 nodes. Change: the same judgement at any number of nodes. What one of a hundred sees in 2 s is thirty requests.

--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -570,7 +570,7 @@
         self.fetching -= 1;
         let failed = matches!(status, Status::Failed | Status::TimedOut);
         // One of many nodes sees too few of them to judge by.
-        let strained = self.limit_start > 1.0 && self.strained();
+        let strained = self.strained();
         if status == Status::Ok && f64::from(self.fetching + 1) * 4.0 >= self.fetch_limit {
             self.fetch_limit += FETCH_UP;
         } else if failed && strained && sent >= self.fetch_cut {
