Ask for the whole list after any doubt; count boxes that start again under their id

A whole list that was doubted left the node watching from the version it holds: a discovery that counts anew has nothing newer to tell until it has passed that, so the second and third telling waited for the watch to end. And count ranked a start behind drain and gone, so that a box which restarts under its id counted as gone for the rest of the log. Change: every doubt asks for the whole list next. count keeps a server's life and whether that ends: a later start is another life, late news of the one before change nothing. Measured: the properties now hold asks_after at None after each doubt; a test of a box that goes, starts again at 19 s and goes again counts it as gone, cold, well and gone.

--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -102,20 +102,16 @@
     /// Whether a list is taken, which then is the one held. Of changes to one server the last holds: they are told in order.
     pub fn judge(&mut self, seq: u64, whole: bool, hosts: &[Listed]) -> Result<Vec<Remark>, Doubt> {
         let mut remarks = Vec::new();
-        match self.doubt(seq, whole, hosts) {
-            None => {}
-            Some(doubt @ (Doubt::Empty { .. } | Doubt::Older { .. })) if whole => {
-                self.doubted += 1;
-                if self.doubted < BELIEVED {
-                    return Err(doubt);
-                }
-                remarks.push(Remark::Believed(doubt));
-            }
-            Some(doubt) => {
-                // Nothing that builds on it can be told from what is right: the whole list is.
+        if let Some(doubt) = self.doubt(seq, whole, hosts) {
+            let may_be_so = whole && matches!(doubt, Doubt::Empty { .. } | Doubt::Older { .. });
+            self.doubted += u32::from(may_be_so);
+            if !may_be_so || self.doubted < BELIEVED {
+                // The whole list tells what is so. A watch would not: a discovery that counts anew has nothing newer to tell
+                // until it has passed the version that is held.
                 self.ask_whole = true;
                 return Err(doubt);
             }
+            remarks.push(Remark::Believed(doubt));
         }
         (self.held, self.ask_whole, self.doubted) = (Some(seq), false, 0);
         if whole {
--- a/crates/decide/tests/membership.rs
+++ b/crates/decide/tests/membership.rs
@@ -40,6 +40,7 @@
     let doubt = Doubt::Older { told: 1, held: 41 };
     for _ in 0..2 {
         assert_eq!(list.judge(1, true, &[host("c", Ready)]), Err(doubt.clone()));
+        assert_eq!(list.asks_after(), None, "a watch would wait for version 42");
     }
     let taken = list.judge(1, true, &[host("c", Ready)]);
     assert_eq!(taken, Ok(vec![Remark::Believed(doubt)]));
@@ -124,9 +125,11 @@
                     (held, doubted) = (seq, 0);
                     prop_assert_eq!(list.asks_after(), Some(held));
                 }
-                Err(Doubt::Empty { .. }) => doubted += 1,
-                Err(Doubt::Older { .. }) if whole => doubted += 1,
-                Err(_) => prop_assert_eq!(list.asks_after(), None),
+                Err(doubt) => {
+                    let may_be_so = whole && matches!(doubt, Doubt::Empty { .. } | Doubt::Older { .. });
+                    doubted += u32::from(may_be_so);
+                    prop_assert_eq!(list.asks_after(), None);
+                }
             }
             prop_assert!(doubted < 3);
         }
--- a/crates/node/src/count.rs
+++ b/crates/node/src/count.rs
@@ -129,8 +129,7 @@
     fn rows(&self, every: u64, warm_within: u64) -> BTreeMap<u64, Row> {
         let mut rows: BTreeMap<u64, Row> = BTreeMap::new();
         let mut nodes: BTreeMap<u64, BTreeSet<&str>> = BTreeMap::new();
-        // By server: what any node was told first of its latest state. Late news of another node change nothing.
-        let mut told: BTreeMap<&str, Told> = BTreeMap::new();
+        let mut told: BTreeMap<&str, Known> = BTreeMap::new();
         for (second, lines) in &self.seconds {
             let span = second / every * every;
             let row = rows.entry(span).or_default();
@@ -149,10 +148,7 @@
                     *count += u64::from(more);
                 }
                 for (server, news) in &line.told {
-                    let known = told.entry(server).or_insert(*news);
-                    if rank(*news) > rank(*known) {
-                        *known = *news;
-                    }
+                    told.entry(server).or_default().hear(*news);
                 }
                 for (server, more) in &line.servers {
                     let sum = ends.entry(server).or_default();
@@ -174,13 +170,12 @@
                 row.error += u64::from(sum.error);
                 let all = sum.all();
                 let bad = all >= SAMPLE && (all - u64::from(sum.ok)) as f64 >= BAD * all as f64;
-                *match told.get(server) {
+                let Known { life, ends } = told.get(server).copied().unwrap_or_default();
+                *match ends {
                     Some(Told::Gone) => &mut row.gone,
                     Some(Told::Draining) => &mut row.draining,
                     _ if bad => &mut row.bad,
-                    Some(Told::Ready(started)) if second.saturating_sub(*started) < warm_within => {
-                        &mut row.cold
-                    }
+                    _ if second.saturating_sub(life) < warm_within => &mut row.cold,
                     _ => &mut row.well,
                 } += all;
             }
@@ -192,13 +187,23 @@
     }
 }
 
-/// News of one server in the order in which they come true: a start is later than all of the life before it.
-fn rank(news: Told) -> (u64, u8) {
-    match news {
-        Told::Ready(started) => (started, 0),
-        // Of whatever life it was: these end the one that is known.
-        Told::Draining => (u64::MAX, 1),
-        Told::Gone => (u64::MAX, 2),
+/// What any node had been told of a server. News reach nodes at different times: late ones of a life bring nobody back, and
+/// a later start is another life. A drain that is taken back within one life is not told apart from late news.
+#[derive(Clone, Copy, Debug, Default)]
+struct Known {
+    /// When it started, in seconds of Unix time; 0 for long ago.
+    life: u64,
+    /// `Draining` or `Gone`, once this life is told to end.
+    ends: Option<Told>,
+}
+
+impl Known {
+    fn hear(&mut self, news: Told) {
+        match (news, self.ends) {
+            (Told::Ready(started), _) if started > self.life => *self = Self { life: started, ends: None },
+            (Told::Ready(_), _) | (Told::Draining, Some(Told::Gone)) => {}
+            (Told::Draining | Told::Gone, _) => self.ends = Some(news),
+        }
     }
 }
 
@@ -327,6 +332,23 @@
         assert_eq!((rows[&40].cold, rows[&40].well), (0, 5));
     }
 
+    // Guards against a box that restarts under its id and counts as gone for the rest of the log.
+    #[test]
+    fn a_server_that_starts_again_under_its_id_is_back_and_cold_whatever_comes_late() {
+        let log = r#"
+            tally {"second":20,"node":"a","pool":"p","told":{"s":"gone"},"servers":{"s":{"ok":1}}}
+            tally {"second":22,"node":"a","pool":"p","told":{"s":{"ready":19}},"servers":{"s":{"ok":2}}}
+            tally {"second":23,"node":"b","pool":"p","told":{"s":{"ready":0}},"servers":{"s":{"ok":3}}}
+            tally {"second":30,"node":"b","pool":"p","servers":{"s":{"ok":4}}}
+            tally {"second":31,"node":"b","pool":"p","told":{"s":"gone"},"servers":{"s":{"connect":1}}}
+            tally {"second":32,"node":"a","pool":"p","told":{"s":"draining"},"servers":{"s":{"connect":2}}}
+        "#;
+        let rows = lines(&[log]).rows(1, 8);
+        assert_eq!([20, 31, 32].map(|second| rows[&second].gone), [1, 1, 2]);
+        assert_eq!([22, 23, 30].map(|second| rows[&second].cold), [2, 3, 0]);
+        assert_eq!(rows[&30].well, 4);
+    }
+
     #[test]
     fn a_server_that_fails_much_of_all_that_it_gets_is_a_bad_one_though_each_node_met_it_once() {
         let log: String = (0..6)
