Refuse at one door by the fleet's pooled ends; keep connections to seldom met servers

So a valve at each server cannot be kept by one of hundreds, and the one for all (excess) let nearly everything through: what it refused came again at once to another node, three times.

It replaces ADMIT and REFUSED. Connections are no longer closed behind seldom met servers.

--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -4,6 +4,7 @@
 
 pub use knowledge::Knowledge;
 
+use crate::admission::{Door, End};
 use crate::api::*;
 use crate::hot_keys::HotKeys;
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
@@ -32,8 +33,6 @@
 /// Of what cold servers were sent within a span, this part proves nothing in it: all cold, each answer would
 /// allow more than one more, and work would not grow from span to span but at once, past what they can bear.
 const COLD_DOUBT: f64 = 0.4;
-/// A node keeps a connection for its next send if that comes within its part of this time.
-const KEPT_OPEN: Duration = Duration::from_secs(3000);
 /// Retry budget: each request pays in this much, and no more than so many are saved up.
 const RETRY_SHARE: f64 = 0.2;
 const RETRY_SAVED: f64 = 10.0;
@@ -64,10 +63,8 @@
 const FOLLOW_AGAIN: Duration = Duration::from_secs(1);
 /// Keys whose last answer is remembered.
 const KEYS_KNOWN: usize = 4096;
-/// Requests for each one in time that a node admits while most of what it sends fails.
-const ADMIT: f64 = 1.3;
-/// What a refusal for want of admission counts: less than a failure, so that admission grows fast again.
-const REFUSED: f64 = 0.25;
+/// For so long a key has the same place in the door's draw at all nodes: longer than a client asks.
+const DRAW_SPAN: Duration = Duration::from_secs(4);
 const RATE_SPAN: Duration = Duration::from_secs(2);
 /// A server most likely holds what it answered in the present or the last of such spans.
 const WARM_SPAN: Duration = Duration::from_secs(5);
@@ -288,10 +285,11 @@
     fetch_cut: Timestamp,
     /// Ends of other requests and of likely misses, and how many of them failed, over about `RATE_SPAN`.
     ends: [(f64, f64); 2],
-    /// Answers that show no queue, and what showed one or was refused for it, over about `RATE_SPAN`.
+    /// Answers that show no queue, over about `RATE_SPAN`.
     good: f64,
-    bad: f64,
     counted: Timestamp,
+    /// What of all that is asked for is let in.
+    door: Door,
 }
 
 impl Balancer {
@@ -323,15 +321,15 @@
             limit_start,
             retry_budget: RETRY_SAVED,
             good: 0.0,
-            bad: 0.0,
             counted: Timestamp::default(),
+            door: Door::default(),
         }
     }
 
     /// Takes in what happened at `now` and appends what the node must do.
     pub fn handle(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
         let faded = (-now.since(self.counted).as_secs_f64() / RATE_SPAN.as_secs_f64()).exp();
-        (self.good, self.bad, self.counted) = (self.good * faded, self.bad * faded, now);
+        (self.good, self.counted) = (self.good * faded, now);
         self.ends = self.ends.map(|(all, failed)| (all * faded, failed * faded));
         self.warm.turn(now);
         match event {
@@ -385,6 +383,7 @@
             stood.map_or(class.aim.as_secs_f64(), |i| self.usual[i])
         };
         self.usual = self.settings.classes.iter().zip(&stood).map(usual).collect();
+        self.door.reclass(&stood);
         // A node of twice as many has half of the work to do.
         let part = limit_start / std::mem::replace(&mut self.limit_start, limit_start);
         for server in &mut self.servers {
@@ -657,22 +656,24 @@
             let barred = outcome.status == Status::QueueFull && lately && reported != Some(false);
             let jammed = excused
                 || failed && !barred && matches!(outcome.status, Status::QueueFull | Status::TimedOut);
-            if answered && (in_time || spare || unqueued) {
-                self.good += 1.0;
-            }
+            let prompt = answered && (in_time || spare || unqueued);
+            self.good += f64::from(u8::from(prompt));
+            let end = match outcome.status {
+                Status::Ok if prompt => Some(End::Answered),
+                Status::Ok => Some(End::Late),
+                Status::QueueFull if jammed => Some(End::Full),
+                Status::TimedOut if !excused => Some(End::TimedOut),
+                _ => None,
+            };
+            end.into_iter().for_each(|end| self.door.note(now, end));
             if answered && in_time && f64::from(server.in_flight) * 2.0 >= server.limit {
                 server.limit += LIMIT_UP;
             } else if answered && !in_time && !spare && unqueued {
                 server.limit = (server.limit - LIMIT_EASE).max(LIMIT_LEAST);
             } else if answered && !in_time && !spare || jammed {
-                self.bad += f64::from(u8::from(!excused));
                 server.limit = (server.limit - LIMIT_DOWN).max(LIMIT_LEAST);
             }
             server.in_flight = server.in_flight.saturating_sub(1);
-            // Each of many nodes meets a server now and then: left open, their connections fill its table.
-            if server.in_flight == 0 && server.gap > KEPT_OPEN / self.settings.nodes.max(1) {
-                actions.push(Action::Close { server: server.entry.id.clone() });
-            }
             // Other failures may be the origin's or the whole server's.
             let of_class = (answered || barred).then_some(answered);
             if server.by_class[class].on_outcome(class_epoch, of_class, MIN_CALLS, now)
@@ -716,10 +717,14 @@
             Some(_) => (true, -1.0),
         };
         let barred = retry && self.retry_budget < 1.0;
-        // A fleet that is jammed as a whole drains only if most is refused before it is sent.
-        let good = self.good + f64::from(MIN_CALLS);
-        let excess = held.attempts.is_empty() && held.luck * (good + self.bad) > good * ADMIT;
-        self.bad += if excess { REFUSED } else { 0.0 };
+        // A fleet that is jammed as a whole drains only if enough is refused before it is sent, and the same
+        // keys at all nodes: a client that comes again to another node at once would undo it.
+        let first = held.attempts.is_empty() && held.arrived == now;
+        let excess = first && {
+            let span = now.as_micros() / DRAW_SPAN.as_micros() as u64;
+            let draw = unit(mix(key_of(&held.request) ^ mix(span) ^ held.slot as u64));
+            !self.door.admits(now, held.slot, &self.settings.classes, &self.usual, draw)
+        };
         // An origin with a queue longer than anyone waits serves nobody until likely misses leave it alone.
         let kept = !held.request.write && self.kept.get(&key_of(&held.request)) == Some(&true);
         if excess || barred || now >= held.request.valid_until || !(kept || self.origin.admits(now)) {
--- a/crates/decide/src/balance/knowledge.rs
+++ b/crates/decide/src/balance/knowledge.rs
@@ -24,7 +24,8 @@
     fetch_limit: Option<f64>,
     ends: [(f64, f64); 2],
     good: f64,
-    bad: f64,
+    /// Of what is asked for, the part that is let in; `None` where all of it is.
+    door: Option<f64>,
     retry_budget: f64,
 }
 
@@ -150,7 +151,7 @@
             fetch_limit: Some(self.fetch_limit).filter(|limit| limit.is_finite()),
             ends: self.ends,
             good: self.good,
-            bad: self.bad,
+            door: Some(self.door.level()).filter(|level| *level < 1.0),
             retry_budget: self.retry_budget,
         }
     }
@@ -193,7 +194,8 @@
         self.warm = Warm { marks, before, since: ago(now, known.warm_age) };
         self.fetch_limit = known.fetch_limit.map_or(f64::INFINITY, |limit| sound(limit, MANY_PARTS));
         self.ends = known.ends.map(|(all, failed)| (sound(all, MANY_PARTS), sound(failed, MANY_PARTS)));
-        (self.good, self.bad) = (sound(known.good, MANY_PARTS), sound(known.bad, MANY_PARTS));
+        self.good = sound(known.good, MANY_PARTS);
+        self.door = known.door.map_or_else(Door::default, Door::at_level);
         self.retry_budget = sound(known.retry_budget, RETRY_SAVED);
     }
 }
