--- a/crates/rig/src/scenarios.rs
+++ b/crates/rig/src/scenarios.rs
@@ -36,6 +36,7 @@
     "mass-kill",
     "lost-zone",
     "mass-replacement",
+    "hundreds",
 ];
 
 /// What is played where nothing is named: a part of everything.
