--- a/crates/decide/tests/admission.rs
+++ b/crates/decide/tests/admission.rs
@@ -110,6 +110,7 @@
             late
         });
         let one = one.sum::<f64>() / 100.0;
+        assert!((bears - 0.15..bears + 0.15).contains(&one), "one lets in {one:.3} where {bears} is borne");
         for nodes in [2, 15, 16, 17, 60, 100, 101, 300, 450] {
             let all = settled(nodes, bears);
             assert!(
