Tell clients that the door refuses when it draws anew, and draw each second

Change: such a refusal tells the time to the next draw, up to what clients honour. A span of one second is longer than tries that follow each other at once, and short enough to come back.

--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -63,8 +63,8 @@
 const FOLLOW_AGAIN: Duration = Duration::from_secs(1);
 /// Keys whose last answer is remembered.
 const KEYS_KNOWN: usize = 4096;
-/// For so long a key has the same place in the door's draw at all nodes: longer than a client asks.
-const DRAW_SPAN: Duration = Duration::from_secs(4);
+/// For so long a key has the same place in the door's draw at all nodes: longer than clients try at once.
+const DRAW_SPAN: Duration = Duration::from_secs(1);
 const RATE_SPAN: Duration = Duration::from_secs(2);
 /// A server most likely holds what it answered in the present or the last of such spans.
 const WARM_SPAN: Duration = Duration::from_secs(5);
@@ -719,15 +719,19 @@
         let barred = retry && self.retry_budget < 1.0;
         // A fleet that is jammed as a whole drains only if enough is refused before it is sent, and the same
         // keys at all nodes: a client that comes again to another node at once would undo it.
-        let first = held.attempts.is_empty() && held.arrived == now;
-        let excess = first && {
-            let span = now.as_micros() / DRAW_SPAN.as_micros() as u64;
+        if held.attempts.is_empty() && held.arrived == now && now < held.request.valid_until {
+            let length = DRAW_SPAN.as_micros() as u64;
+            let (span, past) = (now.as_micros() / length, now.as_micros() % length);
             let draw = unit(mix(key_of(&held.request) ^ mix(span) ^ held.slot as u64));
-            !self.door.admits(now, held.slot, &self.settings.classes, &self.usual, draw)
-        };
+            if !self.door.admits(now, held.slot, &self.settings.classes, &self.usual, draw) {
+                // No other node takes it before the next draw either, unless the door opens.
+                let retry_after = Duration::from_micros(length - past).min(held.settings.max_retry_after);
+                return actions.push(Action::Refuse { id: held.request.id, retry_after });
+            }
+        }
         // An origin with a queue longer than anyone waits serves nobody until likely misses leave it alone.
         let kept = !held.request.write && self.kept.get(&key_of(&held.request)) == Some(&true);
-        if excess || barred || now >= held.request.valid_until || !(kept || self.origin.admits(now)) {
+        if barred || now >= held.request.valid_until || !(kept || self.origin.admits(now)) {
             return self.end(now, held, actions);
         }
         let full = self.fetches_full(&held);
