Ask anew at once when a watch is dead, and draw each wait: no sends after an unseen drain

Requests went to servers announced as leaving once all watches had fallen silent. What a silent watch missed counts as told 2 s after its wait (22.0 s after the call at 0.0 s), and sending may go on 0.5 s and 0.05 s of slack, to 22.55 s.

Ruled out: the node takes the news up late (the list is taken in the millisecond it is written), a send under way when the news came (each wrong send begins before the call that brings the news), doubted or malformed lists (none logged). At fault: discovery.rs WATCH and OVERDUE, `Action::Follow` as the only leave to ask again, balance.rs FOLLOW_AGAIN after any end of a call, and asking::wait after it: a dead watch was treated as a discovery that refuses.

`decide::asking` decides it in one place: a watch is dead 0.5 s after its wait, and the next call goes out at once, since discovery has refused nothing. What keeps hundreds of nodes apart is that each wait is drawn from 10 to 20 s: the spread is longer than the time in which the stated discovery answers all nodes once (5 to 8 s). The client of discovery asks of itself and does not wait for the module's word, also where lists are pushed: an agent tells nothing to a node that does not call, and such a node was never asked for anything before. Of an agent, whose news count in the same moment and whose calls are free, waits are 0.2 s.

--- a/crates/decide/src/asking.rs
+++ b/crates/decide/src/asking.rs
@@ -1,22 +1,124 @@
-//! How long a node waits before it asks discovery again. Discovery is one service of fixed capacity for all nodes; they
-//! share nothing, and each failed call costs it a part of what the others could have had.
+//! When a node asks discovery for news, how long a wait it asks for, when it takes a watch for dead, and how soon it asks
+//! again. Discovery is one service of fixed capacity for all nodes; they share nothing, and each call that fails costs it a
+//! part of what the others could have had.
 //!
-//! Exponential back-off with full jitter (M. Brooker, "Exponential Backoff And Jitter", AWS Architecture Blog, 2015), with
-//! an upper end that grows with the number of nodes: all together then ask about as often as discovery can answer, however
-//! many they are.
+//! A watch that the network has swallowed looks like one with nothing to tell. What it would have told counts as told
+//! [`COUNTED`] after the wait that was asked for is over, and servers may be sent to for [`Terms::grace`] longer: by then the
+//! answer to another call has to be here. So the watch is given up soon after its wait, and the next call goes out at once.
+//! Watches that fell silent together were most often opened together, when one change ended all of them: each wait is drawn
+//! anew, so that the nodes do not come back together to a discovery that can serve them one after the other only.
+//!
+//! After calls that failed: exponential back-off with full jitter (M. Brooker, "Exponential Backoff And Jitter", AWS
+//! Architecture Blog, 2015), with an upper end that grows with the number of nodes: all together then ask about as often as
+//! discovery can answer, however many they are.
 
+use crate::api::Settings;
 use std::time::Duration;
 
-/// The first step; it doubles with each failure.
+/// The longest wait that a watch asks for. Each call costs discovery as much as dozens of entries, and a change ends the
+/// wait at once.
+const LONGEST_WATCH: Duration = Duration::from_secs(20);
+/// And the shortest. Between the two lies more than the time in which discovery can answer all nodes once: stated for the
+/// fleets that this node is run for is up to 8 s.
+const SHORTEST_WATCH: Duration = Duration::from_secs(10);
+/// So long after a wait is over what a watch would have told counts as told. Of the protocol.
+pub const COUNTED: Duration = Duration::from_secs(2);
+/// A watch that says nothing for this long after its wait is dead. The rest of [`COUNTED`], and the grace, are there for the
+/// next call: its connection, and its turn among those of other nodes.
+const OVERDUE: Duration = Duration::from_millis(500);
+/// A call that has nothing to wait for but its turn is given up after this time: discovery gives it up sooner.
+const LIST: Duration = Duration::from_millis(3500);
+/// Of an agent on the node's own machine, which answers at once and at no cost: what it learns counts as told in the same
+/// moment, so the wait, its end and the pause before the next call lie within the grace together, also where the agent has
+/// been silent and is not any more.
+const AGENT_WATCH: Duration = Duration::from_millis(200);
+const AGENT_OVERDUE: Duration = Duration::from_millis(100);
+const AGENT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The first step of the back-off; it doubles with each failure.
 const STEP: Duration = Duration::from_millis(200);
 /// The longest step of a few nodes.
 const LONGEST: Duration = Duration::from_secs(3);
+/// At any number of nodes the first step is no less than such a part of the longest: steps that begin as short as those of
+/// a few have hundreds of nodes fail again and again within the first second.
+const STEPS: u32 = 16;
 /// And for each node, where a whole list is asked for: about what it takes discovery to send one, of 40 servers at 200
 /// lines a second.
 const WHOLE: Duration = Duration::from_millis(250);
 /// The same where only changes are asked for: what a call costs without any.
 const CHANGES: Duration = Duration::from_millis(50);
 
+/// What the settings say of asking.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// How many nodes ask.
+    pub nodes: u32,
+    /// One service is asked by all nodes; else an agent on the node's own machine has what it was sent.
+    pub asked: bool,
+}
+
+impl Terms {
+    /// Of these settings.
+    pub fn of(settings: &Settings) -> Self {
+        Self { nodes: settings.nodes, asked: settings.must_follow }
+    }
+}
+
+/// A call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// How long discovery is asked to wait for news.
+    pub wait: Duration,
+    /// The call is given up when it has no answer after this time.
+    pub limit: Duration,
+}
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// With a list that was taken.
+    Answered,
+    /// A watch was dead: it may have been for all of its wait, with news that count as told soon.
+    Silent,
+    /// In any other way.
+    Failed,
+}
+
+/// What is known of the calls so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Asking {
+    failures: u32,
+}
+
+impl Asking {
+    /// The next call, for changes or for the whole list. `draw` is a random number from 0 to 1.
+    pub fn call(&self, terms: Terms, for_changes: bool, draw: f64) -> Call {
+        if !terms.asked {
+            let wait = if for_changes { AGENT_WATCH } else { Duration::ZERO };
+            return Call { wait, limit: wait + AGENT_OVERDUE };
+        }
+        if !for_changes {
+            return Call { wait: Duration::ZERO, limit: LIST };
+        }
+        let wait = SHORTEST_WATCH + (LONGEST_WATCH - SHORTEST_WATCH).mul_f64(part(draw));
+        Call { wait, limit: wait + OVERDUE }
+    }
+
+    /// Takes in how a call ended and gives the pause before the next one.
+    pub fn ended(&mut self, terms: Terms, end: End, for_changes: bool, draw: f64) -> Duration {
+        self.failures = match end {
+            End::Answered | End::Silent => 0,
+            End::Failed => self.failures.saturating_add(1),
+        };
+        match end {
+            // Discovery refused nothing: what keeps the nodes apart is that their waits were drawn.
+            End::Answered | End::Silent => Duration::ZERO,
+            End::Failed if !terms.asked => AGENT_PAUSE,
+            End::Failed => wait(terms.nodes, self.failures, for_changes, draw),
+        }
+    }
+}
+
 /// The wait before a call that follows so many failed ones, for one of so many nodes. `holds_list`: it asks for changes of
 /// the list that it has. `draw` is a random number from 0 to 1.
 pub fn wait(nodes: u32, failures: u32, holds_list: bool, draw: f64) -> Duration {
@@ -25,6 +127,14 @@
     }
     let share = if holds_list { CHANGES } else { WHOLE };
     let longest = LONGEST.max(share.saturating_mul(nodes));
-    let step = STEP.saturating_mul(1 << failures.min(16)).min(longest);
-    step.mul_f64(if draw.is_nan() { 1.0 } else { draw.clamp(0.0, 1.0) })
+    let step = STEP.max(longest / STEPS).saturating_mul(1 << failures.min(16)).min(longest);
+    step.mul_f64(part(draw))
+}
+
+fn part(draw: f64) -> f64 {
+    if draw.is_nan() {
+        1.0
+    } else {
+        draw.clamp(0.0, 1.0)
+    }
 }
--- a/crates/node/src/daemon/pools.rs
+++ b/crates/node/src/daemon/pools.rs
@@ -12,13 +12,14 @@
 use crate::readiness;
 use crate::tally::Tally;
 use crate::upstream::{Places, Upstream};
+use decide::asking::Terms;
 use decide::membership::Membership;
 use decide::Balancer;
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::mpsc::{self, UnboundedSender};
-use tokio::sync::{oneshot, watch, Notify};
+use tokio::sync::{oneshot, watch};
 use tokio::task::{spawn_local, AbortHandle};
 
 /// All of them, in the configuration's order.
@@ -38,11 +39,9 @@
     /// To its driver.
     events: UnboundedSender<Input>,
     ready: watch::Receiver<bool>,
-    /// The module's word that the list has to be asked for.
-    follow: Rc<Notify>,
     list: List,
-    /// How many nodes ask its discovery.
-    nodes: Rc<Cell<u32>>,
+    /// How its discovery is asked.
+    terms: Rc<Cell<Terms>>,
 }
 
 /// Who brings the list.
@@ -157,7 +156,6 @@
         self.begun += 1;
         // Unbounded, and bounded all the same by the connections: each has one request, or one attempt, in it.
         let (events, inputs) = mpsc::unbounded_channel();
-        let follow = Rc::new(Notify::new());
         let (has_servers, ready) = watch::channel(false);
         let Pool { settings, known, .. } = &pool;
         let (connecting, idle) = (settings.connect_timeout, settings.keepalive);
@@ -170,13 +168,13 @@
             }
             _ => Membership::new((!known.hosts.is_empty()).then_some(known.seq), known.ready()),
         };
-        let nodes = Rc::new(Cell::new(settings.nodes));
-        let list = List::begin(&pool.source, membership, seed, &nodes, &events, &follow);
+        let terms = Rc::new(Cell::new(Terms::of(settings)));
+        let list = List::begin(&pool.source, membership, seed, &terms, &events);
         let balancer = Balancer::new(settings.clone(), seed);
         let tally = Tally::new(&self.node, &pool.name, self.tally.clone());
-        let driver = Driver::new(balancer, upstream, follow.clone(), has_servers, events.clone(), tally);
+        let driver = Driver::new(balancer, upstream, has_servers, events.clone(), tally);
         spawn_local(driver.run(known.clone(), inputs));
-        let running = Running { pool, events, ready, follow, list, nodes };
+        let running = Running { pool, events, ready, list, terms };
         recalled.into_iter().for_each(|recalled| running.recall(recalled));
         running
     }
@@ -185,7 +183,7 @@
     fn go_on(&self, mut running: Running, pool: Pool) -> Running {
         let before = std::mem::replace(&mut running.pool, pool);
         let Pool { source, known, settings, .. } = &running.pool;
-        running.nodes.set(settings.nodes);
+        running.terms.set(Terms::of(settings));
         if *settings != before.settings {
             // The driver only goes once it is retired.
             let _ = running.events.send(Input::Reconfigured(Box::new(settings.clone())));
@@ -199,8 +197,7 @@
             _ => {
                 let seed = self.seed.wrapping_add(self.begun);
                 let membership = Membership::default();
-                running.list =
-                    List::begin(source, membership, seed, &running.nodes, &running.events, &running.follow);
+                running.list = List::begin(source, membership, seed, &running.terms, &running.events);
             }
         }
         if *source == Source::Fixed && (before.source != Source::Fixed || known.hosts != before.known.hosts) {
@@ -216,18 +213,17 @@
         source: &Source,
         membership: Membership,
         seed: u64,
-        nodes: &Rc<Cell<u32>>,
+        terms: &Rc<Cell<Terms>>,
         events: &UnboundedSender<Input>,
-        follow: &Rc<Notify>,
     ) -> Self {
         match source {
             Source::Discovery(at) => {
                 // Pools that lost one discovery together do not come back together either.
                 let random = fastrand::Rng::with_seed(seed);
                 let (sender, address) = watch::channel(*at);
-                let (nodes, events) = (nodes.clone(), events.clone());
-                let watching = Discovery { address, membership, nodes, random, events };
-                Self::Discovery(sender, spawn_local(watching.run(follow.clone())).abort_handle())
+                let (terms, events) = (terms.clone(), events.clone());
+                let watching = Discovery { address, membership, terms, random, events };
+                Self::Discovery(sender, spawn_local(watching.run()).abort_handle())
             }
             Source::File(path) => {
                 Self::File(spawn_local(list_file::watch(path.clone(), events.clone())).abort_handle())
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -4,7 +4,7 @@
 use crate::listing::{Listing, Malformed};
 use crate::log::log;
 use bytes::Bytes;
-use decide::asking;
+use decide::asking::{Asking, End, Terms};
 use decide::membership::{Doubt, Membership};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -18,18 +18,10 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{watch, Notify};
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
-/// How long a watch asks discovery to wait. Each call costs the one discovery of all nodes as much as dozens
-/// of entries, and a change ends the wait at once, so long waits lose nothing.
-const WATCH: Duration = Duration::from_secs(20);
-/// A watch that says nothing for this long after its wait is over is dead: the network swallowed it.
-/// At 2 s past the wait what it would have told counts as told.
-const OVERDUE: Duration = Duration::from_millis(1500);
-/// The same for a call that has nothing to wait for but its turn.
-const LIST: Duration = Duration::from_millis(3500);
 const CONNECT: Duration = Duration::from_secs(2);
 /// What is odd in a list is logged so often for each.
 const REMARKS: usize = 3;
@@ -74,63 +66,55 @@
     pub address: watch::Receiver<SocketAddr>,
     /// Judges what it tells.
     pub membership: Membership,
-    /// How many nodes ask it, as the settings have it by now.
-    pub nodes: Rc<Cell<u32>>,
+    /// What the settings say of asking by now.
+    pub terms: Rc<Cell<Terms>>,
     pub random: fastrand::Rng,
     pub events: UnboundedSender<Input>,
 }
 
 impl Discovery {
-    /// Watches whenever it is told to, until a call fails: then the module is told and says when to try again.
-    /// A new address starts anew at once, from the whole list: versions of the old one mean nothing there, and
-    /// the node serves from the list it holds until that has come.
-    pub async fn run(mut self, follow: Rc<Notify>) {
+    /// Asks for as long as the driver lives, whether the list has to be asked for or an agent is sent it: neither tells
+    /// anything to a node that does not call. A new address starts anew at once, from the whole list: versions of the old
+    /// one mean nothing there, and the node serves from the list it holds until that has come.
+    pub async fn run(mut self) {
         let mut address = self.address.clone();
-        let mut told = false;
         loop {
             let at = *address.borrow_and_update();
             tokio::select! {
                 // All that belongs to the old address goes with this future: its link, watch and backoff.
-                () = self.watch_at(at, &follow, told) => return,
+                () = self.watch_at(at) => return,
                 moved = address.changed() => if moved.is_err() { return },
             }
             self.membership.moved();
-            told = true;
         }
     }
 
-    /// Watches at one address, until the driver has gone. `told`: the module's word to watch holds already.
-    async fn watch_at(&mut self, address: SocketAddr, follow: &Notify, mut told: bool) {
-        let mut failures = 0_u32;
+    /// Asks at one address, until the driver has gone.
+    async fn watch_at(&mut self, address: SocketAddr) {
+        let mut asking = Asking::default();
+        let mut link = None;
         loop {
-            if !std::mem::take(&mut told) {
-                follow.notified().await;
-            }
-            if failures > 0 {
-                // Nodes that lost the same discovery together must not come back together.
-                let draw = self.random.f64();
-                sleep(asking::wait(self.nodes.get(), failures, self.asks_for_changes(), draw)).await;
-            }
-            let mut link = None;
-            loop {
-                let limit = if self.asks_for_changes() { WATCH + OVERDUE } else { LIST };
-                let called = timeout(limit, self.call(address, &mut link)).await;
-                match called.unwrap_or(Err(CallError::Overdue)).and_then(|listing| self.judged(listing)) {
-                    Ok(listing) => {
-                        failures = 0;
-                        if self.events.send(Input::Listing(listing)).is_err() {
-                            return;
-                        }
-                    }
-                    Err(error) => {
-                        log!("discovery: {error}");
-                        failures = failures.saturating_add(1);
-                        if self.events.send(Input::ListingFailed).is_err() {
-                            return;
-                        }
-                        break;
-                    }
+            let for_changes = self.asks_for_changes();
+            let call = asking.call(self.terms.get(), for_changes, self.random.f64());
+            let called = timeout(call.limit, self.call(address, call.wait, &mut link)).await;
+            let judged = called.unwrap_or(Err(CallError::Overdue)).and_then(|listing| self.judged(listing));
+            let (input, end) = match judged {
+                Ok(listing) => (Input::Listing(listing), End::Answered),
+                Err(error) => {
+                    // What may still come on it belongs to a call that was given up.
+                    link = None;
+                    log!("discovery: {error}");
+                    let silent = matches!(error, CallError::Overdue) && for_changes;
+                    (Input::ListingFailed, if silent { End::Silent } else { End::Failed })
                 }
+            };
+            if self.events.send(input).is_err() {
+                return;
+            }
+            let draw = self.random.f64();
+            let pause = asking.ended(self.terms.get(), end, self.asks_for_changes(), draw);
+            if !pause.is_zero() {
+                sleep(pause).await;
             }
         }
     }
@@ -151,7 +135,12 @@
         Ok(listing)
     }
 
-    async fn call(&self, address: SocketAddr, link: &mut Option<Link>) -> Result<Listing, CallError> {
+    async fn call(
+        &self,
+        address: SocketAddr,
+        wait: Duration,
+        link: &mut Option<Link>,
+    ) -> Result<Listing, CallError> {
         // A kept connection that discovery has closed meanwhile is no failure of the call.
         let usable = match link {
             Some(link) => link.sender.ready().await.is_ok(),
@@ -165,7 +154,7 @@
             None => link.insert(connect(address).await?),
         };
         let path = match self.membership.asks_after() {
-            Some(seq) => format!("/v1/servers?after={seq}&wait_ms={}", WATCH.as_millis()),
+            Some(seq) => format!("/v1/servers?after={seq}&wait_ms={}", wait.as_millis()),
             None => "/v1/servers".to_owned(),
         };
         let request = Request::get(path).header(HOST, address.to_string()).body(Empty::new())?;
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
-use tokio::sync::{oneshot, watch, Notify};
+use tokio::sync::{oneshot, watch};
 use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, Instant};
 
@@ -74,7 +74,6 @@
     balancer: Balancer,
     clock: Clock,
     upstream: Rc<Upstream>,
-    follow: Rc<Notify>,
     ready: watch::Sender<bool>,
     events: UnboundedSender<Input>,
     open: HashMap<RequestId, Open>,
@@ -91,7 +90,6 @@
     pub fn new(
         balancer: Balancer,
         upstream: Rc<Upstream>,
-        follow: Rc<Notify>,
         ready: watch::Sender<bool>,
         events: UnboundedSender<Input>,
         tally: Tally,
@@ -100,7 +98,6 @@
             balancer,
             clock: Clock::start(),
             upstream,
-            follow,
             ready,
             events,
             open: HashMap::new(),
@@ -173,10 +170,8 @@
             Input::Retired => self.retired = true,
             // Whoever asked may have given up.
             Input::Alive(answer) => drop(answer.send(())),
-            Input::ListingFailed => {
-                self.tally.at(self.clock.now()).lists_failed += 1;
-                self.due.push_back(Event::Servers(ServerList::Unavailable));
-            }
+            // The list held goes on, and the client of discovery knows when to ask again.
+            Input::ListingFailed => self.tally.at(self.clock.now()).lists_failed += 1,
         }
     }
 
@@ -328,7 +323,8 @@
                 self.timers.insert((Instant::now() + after, Timer::Wake));
             }
             Action::Close { server } => self.upstream.close_idle(&server),
-            Action::Follow => self.follow.notify_one(),
+            // The client of discovery asks of itself, and judges by itself when to ask again.
+            Action::Follow => {}
             Action::Log(text) => {
                 // The module tells of its breakers in words only.
                 let trip = text.starts_with("breaker of ") && text.contains(" tripped");
