Heed drains in answers that are no list, and look again before the first byte

Need: every way in which a send could follow a drain, beside the dead watch. Checked one by one: - an answer that carries a drain and is doubted, malformed in another entry, broken off or never ended was dropped whole (discovery.rs `judged`, `Listing::read(..)?`): what is written to the node counts as told. Now `Listing::leaving` reads what can be read, also while an answer is still coming (four times within the grace), the driver leaves these servers, and the whole list is asked for next, so that what was heeded holds only until it says otherwise. At fault too: a body without an end was waited for as long as the watch itself, 20 s. - between the look at `takes_work` and the first byte lay hyper's own task (upstream.rs `attempt`): the look is now also made where the first byte is written, for new and kept connections alike; the attempt ends as one that reached nobody. - `asking::wait` grew to 75 s for 300 nodes, beyond the 40 s for which a call that failed is good: bounded by twice `safety.ask_within_us`, half of that. The times for an agent are parts of `safety.stop_sending_within_us`. - pushed lists: the program before never called its agent. Ruled out: news waiting behind other inputs (one for each connection at the most, well within the grace); a late answer to a call that was given up (its connection goes with it); ready, draining and ready in one answer (taken in their order).

Tried and mended: the last look first held the whole server, which holds its idle connections, and these then never closed; the test of a pool that is removed found it.

--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -193,6 +193,11 @@
     pub fall_multiple: f64,
     /// The span over which that is counted.
     pub fall_span: Duration,
+    /// Where the list must be asked for: a node that has not asked for this long counts as told of what was listed then,
+    /// and four times as long after a call that failed.
+    pub ask_within: Duration,
+    /// Nothing new may go to a server later than this after it was told to be leaving.
+    pub drain_grace: Duration,
 }
 
 impl Default for Settings {
@@ -218,6 +223,8 @@
             warm_within: Duration::from_secs(10),
             fall_multiple: 2.0,
             fall_span: Duration::from_secs(1),
+            ask_within: Duration::from_secs(10),
+            drain_grace: Duration::from_millis(500),
         }
     }
 }
@@ -412,7 +419,7 @@
     /// From here on other settings hold. Requests taken before are judged by theirs to their end, and what is
     /// known of servers lives on; so does what is known by class, with the class's name. The mode, and whether
     /// weights tell speed, count for all.
-    Reconfigured(Settings),
+    Reconfigured(Box<Settings>),
     /// A time asked for with [`Action::Wake`] has come.
     Timer,
     /// A probe ended.
--- a/crates/decide/src/asking.rs
+++ b/crates/decide/src/asking.rs
@@ -29,11 +29,19 @@
 /// A call that has nothing to wait for but its turn is given up after this time: discovery gives it up sooner.
 const LIST: Duration = Duration::from_millis(3500);
 /// Of an agent on the node's own machine, which answers at once and at no cost: what it learns counts as told in the same
-/// moment, so the wait, its end and the pause before the next call lie within the grace together, also where the agent has
-/// been silent and is not any more.
-const AGENT_WATCH: Duration = Duration::from_millis(200);
-const AGENT_OVERDUE: Duration = Duration::from_millis(100);
-const AGENT_PAUSE: Duration = Duration::from_millis(50);
+/// moment, also where it has been silent and is not any more. So the wait, its end and the pause before the next call are
+/// parts of the grace, and lie within it together.
+const AGENT_WATCH: u32 = 5;
+const AGENT_OVERDUE: u32 = 5;
+const AGENT_PAUSE: u32 = 10;
+/// No part of a grace is taken to be shorter: a grace of nothing would have the node ask without end.
+const LEAST_PART: Duration = Duration::from_millis(5);
+/// An answer with no news that comes before this part of its wait is over has not waited.
+const WAITED: f64 = 0.5;
+/// And the next call comes so long after it: a discovery that never waits must not be asked without end.
+const UNWAITED: Duration = Duration::from_millis(100);
+/// Of an answer that is still coming, what can be read is heeded so many times within the grace.
+const LOOKS: u32 = 4;
 
 /// The first step of the back-off; it doubles with each failure.
 const STEP: Duration = Duration::from_millis(200);
@@ -53,6 +61,10 @@
 pub struct Terms {
     /// How many nodes ask.
     pub nodes: u32,
+    /// [`Settings::ask_within`].
+    pub within: Duration,
+    /// [`Settings::drain_grace`].
+    pub grace: Duration,
     /// One service is asked by all nodes; else an agent on the node's own machine has what it was sent.
     pub asked: bool,
 }
@@ -60,7 +72,21 @@
 impl Terms {
     /// Of these settings.
     pub fn of(settings: &Settings) -> Self {
-        Self { nodes: settings.nodes, asked: settings.must_follow }
+        Self {
+            nodes: settings.nodes,
+            within: settings.ask_within,
+            grace: settings.drain_grace,
+            asked: settings.must_follow,
+        }
+    }
+
+    /// How often an answer that is still coming is looked into: what discovery has written counts as told.
+    pub fn look(self) -> Duration {
+        self.part(LOOKS)
+    }
+
+    fn part(self, of: u32) -> Duration {
+        (self.grace / of).max(LEAST_PART)
     }
 }
 
@@ -77,7 +103,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
     /// With a list that was taken.
-    Answered,
+    Answered {
+        /// How long after the call.
+        took: Duration,
+        /// Whether it says anything new.
+        news: bool,
+    },
     /// A watch was dead: it may have been for all of its wait, with news that count as told soon.
     Silent,
     /// In any other way.
@@ -94,8 +125,8 @@
     /// The next call, for changes or for the whole list. `draw` is a random number from 0 to 1.
     pub fn call(&self, terms: Terms, for_changes: bool, draw: f64) -> Call {
         if !terms.asked {
-            let wait = if for_changes { AGENT_WATCH } else { Duration::ZERO };
-            return Call { wait, limit: wait + AGENT_OVERDUE };
+            let wait = if for_changes { terms.part(AGENT_WATCH) } else { Duration::ZERO };
+            return Call { wait, limit: wait + terms.part(AGENT_OVERDUE) };
         }
         if !for_changes {
             return Call { wait: Duration::ZERO, limit: LIST };
@@ -104,17 +135,18 @@
         Call { wait, limit: wait + OVERDUE }
     }
 
-    /// Takes in how a call ended and gives the pause before the next one.
-    pub fn ended(&mut self, terms: Terms, end: End, for_changes: bool, draw: f64) -> Duration {
-        self.failures = match end {
-            End::Answered | End::Silent => 0,
-            End::Failed => self.failures.saturating_add(1),
-        };
+    /// Takes in how this call ended and gives the pause before the next one. `for_changes` is of the next.
+    pub fn ended(&mut self, terms: Terms, call: Call, end: End, for_changes: bool, draw: f64) -> Duration {
+        self.failures = if end == End::Failed { self.failures.saturating_add(1) } else { 0 };
         match end {
+            End::Answered { took, news: false } if took < call.wait.mul_f64(WAITED) => {
+                UNWAITED.min(terms.part(AGENT_PAUSE))
+            }
             // Discovery refused nothing: what keeps the nodes apart is that their waits were drawn.
-            End::Answered | End::Silent => Duration::ZERO,
-            End::Failed if !terms.asked => AGENT_PAUSE,
-            End::Failed => wait(terms.nodes, self.failures, for_changes, draw),
+            End::Answered { .. } | End::Silent => Duration::ZERO,
+            End::Failed if !terms.asked => terms.part(AGENT_PAUSE),
+            // A call that failed is good for four times as long as one that did not. Half of that is left for the next.
+            End::Failed => wait(terms.nodes, self.failures, for_changes, draw).min(terms.within * 2),
         }
     }
 }
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -349,7 +349,7 @@
             Event::Outcome(outcome) => self.outcome(now, &outcome, actions),
             Event::Abandoned(id) => self.held.get_mut(&id).into_iter().for_each(|held| held.done = true),
             Event::Recalled(known) => self.recall(now, &known),
-            Event::Reconfigured(settings) => self.reconfigure(now, settings),
+            Event::Reconfigured(settings) => self.reconfigure(now, *settings),
             Event::Timer => self.armed = None,
             Event::FirstByte { .. } | Event::Probed { .. } => {}
         }
--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -99,6 +99,11 @@
         *self = Self::new(None, std::mem::take(&mut self.ready));
     }
 
+    /// Something of an answer was heeded that was not taken: only the whole list tells whether it was so.
+    pub fn heeded(&mut self) {
+        self.ask_whole = true;
+    }
+
     /// Whether a list is taken, which then is the one held. Of changes to one server the last holds: they are told in order.
     pub fn judge(&mut self, seq: u64, whole: bool, hosts: &[Listed]) -> Result<Vec<Remark>, Doubt> {
         let mut remarks = Vec::new();
--- a/crates/decide/src/platform.rs
+++ b/crates/decide/src/platform.rs
@@ -160,5 +160,7 @@
         warm_within: or("safety.warm_within_us", base.warm_within)?,
         fall_multiple: fields.number("safety.fall_multiple", f64::MAX)?.unwrap_or(base.fall_multiple),
         fall_span: or("safety.fall_us", base.fall_span)?,
+        ask_within: or("safety.ask_within_us", base.ask_within)?,
+        drain_grace: or("safety.stop_sending_within_us", base.drain_grace)?,
     })
 }
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -77,7 +77,7 @@
 
     pub fn reconfigure(&mut self, settings: Settings) {
         self.settings = settings.clone();
-        self.feed(Event::Reconfigured(settings));
+        self.feed(Event::Reconfigured(Box::new(settings)));
     }
 
     pub fn feed(&mut self, event: Event) -> Vec<Action> {
--- a/crates/decide/tests/reconfigure.rs
+++ b/crates/decide/tests/reconfigure.rs
@@ -160,11 +160,11 @@
     let mut node = Node::with_servers(settings(), 2);
     let asks = |actions: Vec<Action>| actions.iter().filter(|action| **action == Action::Follow).count();
     let following = Settings { must_follow: true, ..settings() };
-    assert_eq!(asks(node.feed(Event::Reconfigured(following.clone()))), 1);
-    assert_eq!(asks(node.feed(Event::Reconfigured(following.clone()))), 0);
+    assert_eq!(asks(node.feed(Event::Reconfigured(Box::new(following.clone())))), 1);
+    assert_eq!(asks(node.feed(Event::Reconfigured(Box::new(following.clone())))), 0);
     // From another source in between, it has to be asked for again.
-    assert_eq!(asks(node.feed(Event::Reconfigured(settings()))), 0);
-    assert_eq!(asks(node.feed(Event::Reconfigured(following))), 1);
+    assert_eq!(asks(node.feed(Event::Reconfigured(Box::new(settings())))), 0);
+    assert_eq!(asks(node.feed(Event::Reconfigured(Box::new(following)))), 1);
 }
 
 // Guards against equal events that give other actions after a change of settings.
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -20,8 +20,10 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
+/// An answer that has begun is whole within this time.
+const ANSWER: Duration = Duration::from_secs(3);
 const CONNECT: Duration = Duration::from_secs(2);
 /// What is odd in a list is logged so often for each.
 const REMARKS: usize = 3;
@@ -96,15 +98,22 @@
         loop {
             let for_changes = self.asks_for_changes();
             let call = asking.call(self.terms.get(), for_changes, self.random.f64());
-            let called = timeout(call.limit, self.call(address, call.wait, &mut link)).await;
-            let judged = called.unwrap_or(Err(CallError::Overdue)).and_then(|listing| self.judged(listing));
+            let (began, mut read) = (Instant::now(), Vec::new());
+            let called = timeout(call.limit, self.call(address, call.wait, &mut link, &mut read)).await;
+            let judged = called.unwrap_or(Err(CallError::Overdue)).and_then(|()| self.judged(&read));
             let (input, end) = match judged {
-                Ok(listing) => (Input::Listing(listing), End::Answered),
+                Ok(listing) => {
+                    let end = End::Answered { took: began.elapsed(), news: !listing.hosts.is_empty() };
+                    (Input::Listing(listing), end)
+                }
                 Err(error) => {
                     // What may still come on it belongs to a call that was given up.
                     link = None;
                     log!("discovery: {error}");
-                    let silent = matches!(error, CallError::Overdue) && for_changes;
+                    if self.heed(&read) {
+                        self.membership.heeded();
+                    }
+                    let silent = matches!(error, CallError::Overdue) && for_changes && read.is_empty();
                     (Input::ListingFailed, if silent { End::Silent } else { End::Failed })
                 }
             };
@@ -112,19 +121,35 @@
                 return;
             }
             let draw = self.random.f64();
-            let pause = asking.ended(self.terms.get(), end, self.asks_for_changes(), draw);
+            let pause = asking.ended(self.terms.get(), call, end, self.asks_for_changes(), draw);
             if !pause.is_zero() {
                 sleep(pause).await;
             }
         }
     }
 
+    /// Tells the driver of servers that are leaving by what has been read of an answer; whether there are any.
+    fn heed(&self, read: &[u8]) -> bool {
+        let names = Listing::leaving(read);
+        let any = !names.is_empty();
+        if any {
+            log!(
+                "discovery: {} servers told to be leaving in an answer that is no list, heeded",
+                names.len()
+            );
+            // The driver only goes when the node does.
+            let _ = self.events.send(Input::Leaving(names));
+        }
+        any
+    }
+
     fn asks_for_changes(&self) -> bool {
         self.membership.asks_after().is_some()
     }
 
     /// The list, if it is one to be taken.
-    fn judged(&mut self, listing: Listing) -> Result<Listing, CallError> {
+    fn judged(&mut self, read: &[u8]) -> Result<Listing, CallError> {
+        let listing = Listing::read(read)?;
         let remarks = self.membership.judge(listing.seq, listing.whole, &listing.listed())?;
         for remark in remarks.iter().take(REMARKS) {
             log!("discovery: {remark}");
@@ -135,12 +160,15 @@
         Ok(listing)
     }
 
+    /// One call. What its answer says is in `read`, as far as it came: what was written counts as told, although the rest may
+    /// never come, or late.
     async fn call(
         &self,
         address: SocketAddr,
         wait: Duration,
         link: &mut Option<Link>,
-    ) -> Result<Listing, CallError> {
+        read: &mut Vec<u8>,
+    ) -> Result<(), CallError> {
         // A kept connection that discovery has closed meanwhile is no failure of the call.
         let usable = match link {
             Some(link) => link.sender.ready().await.is_ok(),
@@ -162,8 +190,27 @@
         if response.status() != StatusCode::OK {
             return Err(CallError::Status(response.status()));
         }
-        let body = Limited::new(response.into_body(), LARGEST).collect().await?.to_bytes();
-        Ok(Listing::read(&body)?)
+        let mut body = Limited::new(response.into_body(), LARGEST);
+        let (until, look) = (Instant::now() + ANSWER, self.terms.get().look());
+        let (mut next, mut looked) = (Instant::now() + look, 0);
+        loop {
+            match timeout_at(next, body.frame()).await {
+                Ok(Some(frame)) => {
+                    if let Ok(data) = frame?.into_data() {
+                        read.extend_from_slice(&data);
+                    }
+                }
+                Ok(None) => return Ok(()),
+                Err(_) if Instant::now() >= until => return Err(CallError::Overdue),
+                Err(_) => {
+                    next = Instant::now() + look;
+                    if read.len() > looked {
+                        self.heed(read);
+                        looked = read.len();
+                    }
+                }
+            }
+        }
     }
 }
 
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -2,7 +2,7 @@
 //! module's actions are carried out in order; nothing is picked, repeated or refused here.
 
 use crate::input::{Answer, Input, Taken};
-use crate::listing::Listing;
+use crate::listing::{Host, Listing};
 use crate::log::log;
 use crate::tally::Tally;
 use crate::upstream::{Ended, Message, Upstream};
@@ -154,7 +154,7 @@
             }
             Input::Reconfigured(settings) => {
                 self.upstream.configure(settings.connect_timeout, settings.keepalive);
-                self.due.push_back(Event::Reconfigured(*settings));
+                self.due.push_back(Event::Reconfigured(settings));
             }
             Input::Recalled(recalled) => {
                 let (listing, knowledge) = *recalled;
@@ -170,6 +170,12 @@
             Input::Retired => self.retired = true,
             // Whoever asked may have given up.
             Input::Alive(answer) => drop(answer.send(())),
+            Input::Leaving(names) => {
+                let held = self.listing.hosts.iter().filter(|host| names.contains(&host.host));
+                let hosts = held.filter_map(Host::leaving).collect();
+                let entries = self.learn(&Listing { seq: self.listing.seq, whole: false, hosts });
+                self.due.push_back(Event::Servers(ServerList::Changes(entries)));
+            }
             // The list held goes on, and the client of discovery knows when to ask again.
             Input::ListingFailed => self.tally.at(self.clock.now()).lists_failed += 1,
         }
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -50,6 +50,8 @@
     },
     Listing(Listing),
     ListingFailed,
+    /// Servers that an answer says are leaving, of which no list has been taken, or not yet.
+    Leaving(Vec<String>),
     /// Other settings hold for what is taken from here on.
     Reconfigured(Box<Settings>),
     /// What the process knew whose place this one takes. It comes before the first request.
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -1,11 +1,18 @@
 //! The list of cache servers in discovery's words, and as the module's.
 
+mod salvage;
+
 use decide::membership::Listed;
 use decide::{Availability, ServerEntry, Timestamp};
+use serde::de::DeserializeSeed;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use thiserror::Error;
 
+/// What is said of a server that takes work.
+const READY: &str = "ready";
+
 /// What is no list.
 #[derive(Debug, Error)]
 pub enum Malformed {
@@ -63,6 +70,16 @@
         Ok(listing)
     }
 
+    /// The names of servers that are told to be leaving in an answer, as far as it can be read: it may break off anywhere,
+    /// and entries may lack what a list needs. Of what is told of one server the last holds.
+    pub fn leaving(body: &[u8]) -> Vec<String> {
+        let mut told = BTreeMap::new();
+        let mut json = serde_json::Deserializer::from_slice(body);
+        // How it ends does not matter: what came before was told.
+        let _ = salvage::Answer(&mut told).deserialize(&mut json);
+        told.into_iter().filter(|(_, health)| health != READY).map(|(host, _)| host).collect()
+    }
+
     /// Its entries, as far as it matters to whether it is taken.
     pub fn listed(&self) -> Vec<Listed<'_>> {
         self.hosts.iter().map(Host::listed).collect()
@@ -78,7 +95,7 @@
 impl Host {
     fn told(&self) -> Availability {
         match self.health.as_str() {
-            "ready" => Availability::Ready,
+            READY => Availability::Ready,
             "gone" => Availability::Gone,
             // Draining, or a state that this version does not know: keep away from that server.
             _ => Availability::Draining,
@@ -93,6 +110,12 @@
         }
     }
 
+    /// The same server on its way out; `None` for one that takes no work in any case.
+    pub fn leaving(&self) -> Option<Self> {
+        let ready = self.availability() == Availability::Ready;
+        ready.then(|| Self { health: "draining".into(), ..self.clone() })
+    }
+
     fn listed(&self) -> Listed<'_> {
         Listed { name: &self.host, state: self.told(), has_address: self.dial.is_some() }
     }
@@ -167,7 +190,52 @@
         assert_eq!((list.hosts.len(), list.ready().count()), (1, 0));
     }
 
+    #[test]
+    fn what_is_told_to_be_leaving_is_read_from_an_answer_that_is_no_list() {
+        let leaving = |text: &str| Listing::leaving(text.as_bytes()).join(",");
+        let cases = [
+            (r#"{"seq":2,"whole":false,"hosts":[{"host":"a","health":"draining"},{"host":"b"#, "a"),
+            (
+                r#"{"hosts":[{"host":"a","health":"draining"},{"host":7},{"health":"gone"},{"host":"b","health":"gone"}]"#,
+                "a,b",
+            ),
+            (r#"{"hosts":[{"host":"a","health":"draining","dial":"nowhere"}],"seq":-1,"whole":3}"#, "a"),
+            (r#"{"hosts":[{"host":"a","health":"draining"},{"host":"a","health":"ready"}]}"#, ""),
+            (r#"{"hosts":[{"host":"a","health":"ready"},{"host":"a","health":"draining"}]}"#, "a"),
+            (r#"{"hosts":[3,null,[],"x",{"host":"a","health":"lame-duck"}]}"#, "a"),
+            (r#"{"more":{"hosts":[{"host":"a","health":"draining"}]},"hosts":null}"#, ""),
+            (r#"[{"host":"a","health":"draining"}]"#, ""),
+            ("", ""),
+        ];
+        for (text, names) in cases {
+            assert_eq!(leaving(text), names, "{text}");
+            // Discovery may indent its lists.
+            let spread = text.replace(',', ",\n  ").replace('{', "{\n\t").replace(':', " : ");
+            assert_eq!(leaving(&spread), names, "{spread}");
+        }
+    }
+
     proptest! {
+        #[test]
+        fn what_is_told_before_an_answer_breaks_off_is_read_wherever_it_does(servers in 1..40_usize, cut in 0.0..1.0_f64) {
+            let entry = |i| format!(r#"{{"host":"s-{i:02}","dial":null,"health":"draining"}}"#);
+            let mut text = String::from(r#"{"seq":1,"whole":false,"hosts":["#);
+            let mut ends = Vec::new();
+            for i in 0..servers {
+                text += &entry(i);
+                ends.push(text.len());
+                text += if i + 1 < servers { "," } else { "]}" };
+            }
+            let cut = (text.len() as f64 * cut) as usize;
+            let whole = ends.iter().filter(|end| **end <= cut).count();
+            prop_assert_eq!(Listing::leaving(&text.as_bytes()[..cut]).len(), whole);
+        }
+
+        #[test]
+        fn any_bytes_can_be_looked_into(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+            let _ = Listing::leaving(&bytes);
+        }
+
         #[test]
         fn any_bytes_are_a_list_or_an_error(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
             let _ = Listing::read(&bytes);
--- a/crates/node/src/tally.rs
+++ b/crates/node/src/tally.rs
@@ -11,8 +11,9 @@
 
 /// The first word of such a line.
 pub const WORD: &str = "tally ";
-/// Servers that a line tells of one by one; the others are added up.
-const MOST_SERVERS: usize = 64;
+/// Servers that a line tells of one by one; the others are added up. No fleet that a node was built for has more, and a line of
+/// so many is a small part of what `count` reads as one.
+const MOST_SERVERS: usize = 1024;
 /// The name that these go by: no server has it, since discovery's names are not empty.
 pub const OTHERS: &str = "";
 
@@ -179,15 +180,15 @@
     fn a_line_is_bounded_whatever_servers_there_are_and_reads_back_as_it_was() {
         let mut tally = Tally::new("n1", "pool", Rc::new(Cell::new(false)));
         let line = tally.at(Timestamp::from_micros(7_500_000));
-        for i in 0..1_000 {
+        for i in 0..3_000 {
             let server = ServerId::from(format!("s-{i}").as_str());
             line.ended(&server, Status::ConnectError);
             line.ended(&server, Status::Canceled);
             line.told(&server, Availability::Gone, None);
         }
         assert_eq!((line.second, line.servers.len(), line.told.len()), (7, MOST_SERVERS + 1, MOST_SERVERS));
-        assert_eq!(line.servers[OTHERS].connect, 1_000 - MOST_SERVERS as u32);
-        assert_eq!(line.servers.values().map(Ends::all).sum::<u64>(), 1_000);
+        assert_eq!(line.servers[OTHERS].connect, 3_000 - MOST_SERVERS as u32);
+        assert_eq!(line.servers.values().map(Ends::all).sum::<u64>(), 3_000);
         let json = serde_json::to_string(line).expect("text");
         assert_eq!(serde_json::from_str::<Line>(&json).expect("a line"), *line);
     }
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -113,14 +113,22 @@
 struct Watched {
     stream: TokioIo<TcpStream>,
     written: Rc<Written>,
+    /// Its server's. Held apart from the server, which holds its idle connections: neither must keep the other alive.
+    takes_work: Rc<Cell<bool>>,
 }
 
 impl Watched {
-    /// Before the first byte of a request on a kept connection: nothing may stand there to be read. hyper looks
-    /// as well, but only as far as the runtime has polled, and would take what lies in the socket (a second copy
-    /// of the last answer, noise) for the answer to this request.
+    /// Before the first byte of a request: the server must still take work, whatever was so when the request set out. And on
+    /// a kept connection nothing may stand there to be read. hyper looks as well, but only as far as the runtime has polled,
+    /// and would take what lies in the socket (a second copy of the last answer, noise) for the answer to this request.
     fn check(&self) -> io::Result<()> {
-        if self.written.begun.get() || !self.written.reused.get() {
+        if self.written.begun.get() {
+            return Ok(());
+        }
+        if !self.takes_work.get() {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        if !self.written.reused.get() {
             return Ok(());
         }
         match SockRef::from(self.stream.inner()).peek(&mut [MaybeUninit::uninit()]) {
@@ -222,7 +230,7 @@
 /// A cache server.
 struct Peer {
     dial: Cell<SocketAddr>,
-    takes_work: Cell<bool>,
+    takes_work: Rc<Cell<bool>>,
     /// The one used last stands last.
     idle: RefCell<Vec<Connection>>,
 }
@@ -259,7 +267,7 @@
                 peer.idle.borrow_mut().clear();
             }
         } else if let Some(dial) = dial {
-            let (dial, takes_work) = (Cell::new(dial), Cell::new(takes_work));
+            let (dial, takes_work) = (Cell::new(dial), Rc::new(Cell::new(takes_work)));
             peers.insert(server.clone(), Rc::new(Peer { dial, takes_work, idle: RefCell::default() }));
         }
     }
@@ -305,6 +313,9 @@
         let peer = self.peers.borrow().get(server).cloned();
         let Some(peer) = peer else { return Ended::without_answer(Status::ConnectError) };
         loop {
+            if !peer.takes_work.get() {
+                return Ended::without_answer(Status::ConnectError);
+            }
             let mut connection = match timeout_at(until, self.connection(&peer)).await {
                 Ok(Ok(connection)) => connection,
                 // The node's own want says nothing of the server.
@@ -352,7 +363,11 @@
             let stream = TcpStream::connect(peer.dial.get()).await?;
             stream.set_nodelay(true)?;
             let written = Rc::new(Written::default());
-            let watched = Watched { stream: TokioIo::new(stream), written: written.clone() };
+            let watched = Watched {
+                stream: TokioIo::new(stream),
+                written: written.clone(),
+                takes_work: peer.takes_work.clone(),
+            };
             let mut http = http1::Builder::new();
             http.max_buf_size(LARGEST_HEAD);
             let (sender, driving) = http.handshake(watched).await.map_err(io::Error::other)?;
@@ -449,3 +464,40 @@
         _ => Status::Failed,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hyper::rt::Write;
+    use tokio::io::AsyncReadExt;
+    use tokio::net::TcpListener;
+
+    // The news of a drain may come between an attempt's look at its server and the moment at which hyper writes.
+    #[tokio::test]
+    async fn a_request_whose_server_drains_before_its_first_byte_writes_none_and_one_that_has_begun_goes_on()
+    {
+        for (begun, takes_work, writes) in
+            [(false, true, true), (false, false, false), (true, false, true), (true, true, true)]
+        {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+            let address = listener.local_addr().expect("its address");
+            let stream = TcpStream::connect(address).await.expect("a connection");
+            let (mut server, _) = listener.accept().await.expect("the other end");
+            let written = Rc::new(Written::default());
+            written.begun.set(begun);
+            let takes_work = Rc::new(Cell::new(takes_work));
+            let mut watched = Watched {
+                stream: TokioIo::new(stream),
+                written: written.clone(),
+                takes_work: takes_work.clone(),
+            };
+            let wrote = std::future::poll_fn(|cx| Pin::new(&mut watched).poll_write(cx, b"GET")).await;
+            assert_eq!(wrote.is_ok(), writes, "begun {begun}, takes work {takes_work:?}");
+            assert_eq!(written.begun.get(), begun || writes);
+            drop(watched);
+            let mut read = Vec::new();
+            server.read_to_end(&mut read).await.expect("the end");
+            assert_eq!(read.len(), if writes { 3 } else { 0 });
+        }
+    }
+}
--- a/crates/node/tests/lists.rs
+++ b/crates/node/tests/lists.rs
@@ -5,6 +5,8 @@
 
 use common::*;
 use serde_json::{json, Value};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 /// A node that serves from a list of one server, is told `text`, and says `words` of it; then a good list of another server
 /// comes, with `seq`.
@@ -71,3 +73,137 @@
     assert_eq!(node.said("list not taken: seq: 0, older than 1"), 2);
     wait_for("its server to be used", || node.read("read", 1).body == b"new");
 }
+
+/// A discovery that answers the first call with a whole list in which two servers are ready, and the calls after it as `then`
+/// says, the first of them being number 1.
+fn scripted(hosts: [Value; 2], then: impl Fn(usize) -> Does + Send + Sync + 'static) -> CacheServer {
+    let first = answer("200 OK", "", &whole(1, &hosts));
+    let calls = AtomicUsize::new(0);
+    CacheServer::start(move |_| match calls.fetch_add(1, Ordering::SeqCst) {
+        0 => Does::Answer(first.clone()),
+        call => then(call),
+    })
+}
+
+/// A node that is told in `text`, which is no list that it takes, that one of its two servers is leaving; after that its
+/// discovery says nothing more. `end` is how the answer goes on behind the text.
+fn heeded(text: &str, end: fn(String) -> Does, words: &str) {
+    let (leaving, staying) = (CacheServer::serving("leaving"), CacheServer::serving("staying"));
+    let text = text.replace("LEAVING", &leaving.entry("s-1", "draining").to_string());
+    let shown = text.clone();
+    let hosts = [leaving.entry("s-1", "ready"), staying.entry("s-2", "ready")];
+    let told = std::sync::Arc::new(AtomicUsize::new(0));
+    let served = told.clone();
+    let discovery = scripted(hosts, move |call| {
+        if call > 1 {
+            return Does::Nothing;
+        }
+        // Both servers have had work before.
+        while served.load(Ordering::SeqCst) == 0 {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        end(text.clone())
+    });
+    let node = Node::ready(&config(discovery.address));
+    wait_for("both servers to be used", || {
+        (0..50).for_each(|key| drop(node.read("read", key)));
+        leaving.count() > 0 && staying.count() > 0
+    });
+    told.store(1, Ordering::SeqCst);
+    wait_for(&format!("{words}, of {shown}"), || node.said(words) >= 1);
+    let before = leaving.count();
+    for key in 0..50 {
+        assert_eq!(node.read("read", key).body, b"staying", "{shown}");
+    }
+    assert_eq!(leaving.count(), before, "{shown}");
+}
+
+const HEEDED: &str = "1 servers told to be leaving in an answer that is no list, heeded";
+
+/// The whole answer.
+fn complete(text: String) -> Does {
+    Does::Answer(answer("200 OK", "", &text))
+}
+
+/// Says that more comes, and closes.
+fn broken_off(text: String) -> Does {
+    Does::Close(format!("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n{text}"))
+}
+
+/// Says that more comes, which never does, on a connection that stays open.
+fn without_end(text: String) -> Does {
+    Does::Answer(format!("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n{text}"))
+}
+
+#[test]
+fn a_drain_is_heeded_although_the_answer_that_tells_it_breaks_off_or_never_ends() {
+    heeded(r#"{"seq":2,"whole":false,"hosts":[LEAVING,{"host":"s-"#, broken_off, HEEDED);
+    heeded(r#"{"seq":2,"whole":false,"hosts":[LEAVING"#, without_end, HEEDED);
+    heeded("{\n  \"seq\": 2,\n  \"whole\": false,\n  \"hosts\": [\n    LEAVING,\n", without_end, HEEDED);
+}
+
+#[test]
+fn a_drain_is_heeded_although_another_entry_or_the_list_as_a_whole_is_not_taken() {
+    let bad = r#"{"seq":2,"whole":false,"hosts":[LEAVING,{"host":"s-3","dial":"nowhere","health":"ready"}]}"#;
+    heeded(bad, complete, "hosts[1].dial: invalid socket address syntax");
+    heeded(bad, complete, HEEDED);
+    heeded(r#"{"seq":2,"whole":true,"hosts":[LEAVING,LEAVING]}"#, complete, HEEDED);
+    heeded(r#"{"seq":0,"whole":false,"hosts":[LEAVING]}"#, complete, HEEDED);
+}
+
+#[test]
+fn what_was_heeded_holds_until_the_whole_list_says_otherwise() {
+    let (one, two) = (CacheServer::serving("one"), CacheServer::serving("two"));
+    let hosts = [one.entry("s-1", "ready"), two.entry("s-2", "ready")];
+    let spoilt = format!(r#"{{"seq":2,"whole":false,"hosts":[{},"#, one.entry("s-1", "draining"));
+    let again = whole(2, &hosts);
+    let discovery = scripted(hosts.clone(), move |call| match call {
+        1 => broken_off(spoilt.clone()),
+        2 => Does::Answer(answer("200 OK", "", &again)),
+        _ => Does::Nothing,
+    });
+    let node = Node::ready(&config(discovery.address));
+    wait_for("the drain to be heeded", || node.said(HEEDED) == 1);
+    wait_for("the whole list to be asked for and the watch after it", || discovery.count() >= 4);
+    assert!(!discovery.asked.lock().unwrap()[2].start.contains("after="), "the whole list");
+    wait_for("the server to be used again", || {
+        (0..50).for_each(|key| drop(node.read("read", key)));
+        one.count() > 0
+    });
+}
+
+// Guards against a node that waits to be told to ask: an agent tells nothing to one that does not call.
+#[test]
+fn pushed_lists_are_asked_of_the_agent_again_and_again_also_after_it_was_silent() {
+    let (leaving, staying) = (CacheServer::serving("leaving"), CacheServer::serving("staying"));
+    let hosts = [leaving.entry("s-1", "ready"), staying.entry("s-2", "ready")];
+    let drained = json!({"seq": 2, "whole": false, "hosts": [leaving.entry("s-1", "draining")]}).to_string();
+    let agent = scripted(hosts, move |call| match call {
+        // Silent, as it is while discovery is down, on every connection.
+        1..=5 => Does::Nothing,
+        6 => Does::Answer(answer("200 OK", "", &drained)),
+        _ => Does::Nothing,
+    });
+    let mut config = config(agent.address);
+    config["settings"]["membership_mode"] = json!("automatic");
+    let node = Node::ready(&config);
+    wait_for("the drain to be told", || agent.count() >= 8);
+    for key in 0..50 {
+        assert_eq!(node.read("read", key).body, b"staying");
+    }
+}
+
+// Guards against a loop without a pause where a discovery does not wait as it is asked to.
+#[test]
+fn a_discovery_that_answers_every_watch_at_once_is_not_asked_without_end() {
+    let server = CacheServer::serving("value");
+    let hosts = [server.entry("s-1", "ready"), server.entry("s-2", "ready")];
+    let nothing = json!({"seq": 1, "whole": false, "hosts": []}).to_string();
+    let started = Instant::now();
+    let discovery = scripted(hosts, move |_| Does::Answer(answer("200 OK", "", &nothing)));
+    let node = Node::ready(&config(discovery.address));
+    wait_for("calls", || discovery.count() >= 20);
+    // Eighteen pauses lie between them.
+    assert!(started.elapsed() >= Duration::from_millis(18 * 50), "{:?}", started.elapsed());
+    assert_eq!(node.read("read", 1).body, b"value");
+}
--- /dev/null
+++ b/crates/node/tests/sizes.rs
@@ -0,0 +1,157 @@
+//! Large fleets on sockets: a node that is one of 1,024, and is told of 1,024 cache servers and more. Every one of them is
+//! read, can be picked, and is left when it drains, however the list arrives.
+
+mod common;
+
+use common::*;
+use serde_json::{json, Value};
+use std::collections::BTreeSet;
+use std::io::{BufReader, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+const SERVERS: usize = 1024;
+const NODES: usize = 1024;
+
+/// The address of a server of this number: each has one of its own on loopback, all with one port.
+fn dial(server: usize, port: u16) -> SocketAddr {
+    let [high, low] = u16::try_from(server).unwrap().to_be_bytes();
+    (Ipv4Addr::new(127, 1, high, low), port).into()
+}
+
+/// All servers by one listener. It notes which of them were sent something since it was last asked.
+fn servers() -> (u16, Arc<Mutex<BTreeSet<SocketAddr>>>) {
+    let listener = TcpListener::bind("0.0.0.0:0").unwrap();
+    let port = listener.local_addr().unwrap().port();
+    let met: Arc<Mutex<BTreeSet<_>>> = Arc::default();
+    let all = met.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let met = all.clone();
+            thread::spawn(move || {
+                let own = stream.local_addr().unwrap();
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                let mut stream = stream;
+                while let Ok(Some(_)) = Message::read(&mut reader) {
+                    met.lock().unwrap().insert(own);
+                    if stream.write_all(answer("200 OK", "", "value").as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (port, met)
+}
+
+fn entries(numbers: impl Iterator<Item = usize>, port: u16, health: &str) -> Vec<Value> {
+    numbers.map(|number| host(&format!("s-{number:05}"), dial(number, port), health)).collect()
+}
+
+/// An answer that arrives in pieces.
+fn in_pieces(stream: &mut impl Write, body: &str) {
+    let text = answer("200 OK", "", body);
+    for piece in text.as_bytes().chunks(text.len() / 7 + 1) {
+        stream.write_all(piece).unwrap();
+        stream.flush().unwrap();
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A discovery that tells these lists one after the other, indented and in pieces, each once the one before is taken.
+fn discovery(lists: Vec<Value>) -> (SocketAddr, Arc<Mutex<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (told, let_go) = (Arc::new(Mutex::new(0)), Arc::new(Mutex::new(1)));
+    let most = let_go.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let (lists, told, most) = (lists.clone(), told.clone(), most.clone());
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                let mut stream = stream;
+                while let Ok(Some(_)) = Message::read(&mut reader) {
+                    let next = *told.lock().unwrap();
+                    while next >= *most.lock().unwrap() {
+                        thread::sleep(Duration::from_millis(5));
+                    }
+                    *told.lock().unwrap() += 1;
+                    in_pieces(&mut stream, &serde_json::to_string_pretty(&lists[next]).unwrap());
+                }
+            });
+        }
+    });
+    (address, let_go)
+}
+
+/// Reads keys until every server of these has been met, and returns whom else.
+fn meet(
+    node: &Node,
+    met: &Mutex<BTreeSet<SocketAddr>>,
+    wanted: &BTreeSet<SocketAddr>,
+) -> BTreeSet<SocketAddr> {
+    met.lock().unwrap().clear();
+    let mut client = node.client();
+    let mut key = 0;
+    wait_for("every server to be met", || {
+        for _ in 0..500 {
+            key += 1;
+            assert_eq!(client.ask(&read("read", key, 20_000)).status(), 200);
+        }
+        met.lock().unwrap().is_superset(wanted)
+    });
+    met.lock().unwrap().difference(wanted).copied().collect()
+}
+
+#[test]
+fn one_of_1024_nodes_reads_1024_servers_whole_and_in_changes_and_can_pick_every_one() {
+    let (port, met) = servers();
+    let addresses = |numbers: &mut dyn Iterator<Item = usize>| -> BTreeSet<_> {
+        numbers.map(|number| dial(number, port)).collect()
+    };
+    let old = SERVERS..2 * SERVERS;
+    let (leaving, coming) = (0..SERVERS / 2, old.clone().take(SERVERS / 2));
+    let changes =
+        [entries(leaving.clone(), port, "draining"), entries(coming.clone(), port, "ready")].concat();
+    let lists = vec![
+        json!({"seq": 1, "whole": true, "hosts": entries(0..SERVERS, port, "ready")}),
+        json!({"seq": 2, "whole": false, "hosts": changes}),
+    ];
+    let (address, let_go) = discovery(lists);
+    let mut config = config(address);
+    // What it knew at its start has gone since.
+    config["known"] = json!({"seq": 0, "whole": true, "hosts": entries(old.clone(), port, "ready")});
+    config["settings"]["balancers"] = json!(NODES);
+    config["seed"] = json!("8c1f30d27a5be964");
+    let node = Node::ready(&config);
+    *let_go.lock().unwrap() = 1;
+    // The list that it starts with is as good as any until another has come.
+    wait_for("the whole list", || {
+        met.lock().unwrap().clear();
+        (0..200).for_each(|key| drop(node.read("read", key)));
+        met.lock().unwrap().is_disjoint(&addresses(&mut old.clone()))
+    });
+    let others = meet(&node, &met, &addresses(&mut (0..SERVERS)));
+    assert_eq!(others.len(), 0, "{others:?}");
+    *let_go.lock().unwrap() = 2;
+    wait_for("the changes", || {
+        met.lock().unwrap().clear();
+        (0..200).for_each(|key| drop(node.read("read", key)));
+        met.lock().unwrap().is_disjoint(&addresses(&mut leaving.clone()))
+    });
+    let others = meet(&node, &met, &addresses(&mut (SERVERS / 2..SERVERS).chain(coming)));
+    assert_eq!(others.len(), 0, "{others:?}");
+}
+
+#[test]
+fn a_list_of_5000_servers_that_arrives_in_pieces_is_taken() {
+    let (port, met) = servers();
+    let mut hosts = entries(0..5_000, port, "draining");
+    hosts[4_999] = entries(4_999..5_000, port, "ready").remove(0);
+    let (address, _let_go) = discovery(vec![json!({"seq": 1, "whole": true, "hosts": hosts})]);
+    let node = Node::ready(&config(address));
+    assert_eq!(node.read("read", 1).status(), 200);
+    assert_eq!(met.lock().unwrap().iter().collect::<Vec<_>>(), [&dial(4_999, port)]);
+}
--- a/crates/rig/src/simulate/nodes.rs
+++ b/crates/rig/src/simulate/nodes.rs
@@ -173,7 +173,7 @@
         if self.nodes[node].reloads % 2 == 1 {
             settings.classes.reverse();
         }
-        self.decide(node, Event::Reconfigured(settings));
+        self.decide(node, Event::Reconfigured(Box::new(settings)));
     }
 
     /// Where a class of the script's stands in the node's configuration.
