Bound the wait after failed calls for changes only; say how news is told in time

It holds for changes alone now. Open: a node that holds a list and is refused the whole one again and again.

--- a/crates/decide/src/asking.rs
+++ b/crates/decide/src/asking.rs
@@ -145,8 +145,12 @@
             // Discovery refused nothing: what keeps the nodes apart is that their waits were drawn.
             End::Answered { .. } | End::Silent => Duration::ZERO,
             End::Failed if !terms.asked => terms.part(AGENT_PAUSE),
-            // A call that failed is good for four times as long as one that did not. Half of that is left for the next.
-            End::Failed => wait(terms.nodes, self.failures, for_changes, draw).min(terms.within * 2),
+            // A call that failed is good for four times as long as one that did not. Half of that is left for the next. Whole
+            // lists are not asked for sooner than discovery may be able to send them: calls that fail would take what it has.
+            End::Failed => {
+                let longest = if for_changes { terms.within * 2 } else { Duration::MAX };
+                wait(terms.nodes, self.failures, for_changes, draw).min(longest)
+            }
         }
     }
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -3,7 +3,7 @@
 //! Start from [`Balancer`], fed with [`Event`]s through [`Balancer::handle`], and the [`Settings`] it is made from.
 //! [`admission`] tells what a node lets in of what is asked for.
 //! [`handover`] decides who accepts clients while one process takes another's place.
-//! [`asking`] tells how long a node waits before it asks discovery again.
+//! [`asking`] tells when a node asks discovery, and when a watch is dead.
 //! [`membership`] tells which lists of discovery's are taken.
 //! [`hot_keys`] tells over how many servers a key is spread.
 //! [`supervise`] keeps a fleet of instances going. [`platform`] reads settings and load reports as the platform words them.
