--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::os::unix::net::UnixDatagram;
 use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -334,6 +334,14 @@
 
 static NUMBERS: AtomicU32 = AtomicU32::new(0);
 
+/// An address on loopback that is no other test's: a port there that nobody listens on stays so. On 127.0.0.1 the system gives
+/// it to another test's connection or listener as soon as it is let go.
+pub fn own_loopback() -> Ipv4Addr {
+    let number = NUMBERS.fetch_add(1, Ordering::SeqCst) % 250;
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 2 + number as u8, high, low.max(1))
+}
+
 pub fn write_config(text: &str) -> std::path::PathBuf {
     let number = NUMBERS.fetch_add(1, Ordering::SeqCst);
     let path = std::env::temp_dir().join(format!("pinhead-{}-{number}.json", std::process::id()));
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{command, read, wait_for, CacheServer, Client, Folder, PATIENCE};
+use common::{command, own_loopback, read, wait_for, CacheServer, Client, Folder, PATIENCE};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, ChildStdin, Command, Stdio};
@@ -34,10 +34,11 @@
 
 /// The first of so many ports in a row that nobody listens on.
 fn free_ports(count: u16) -> SocketAddr {
+    let own = own_loopback();
     loop {
-        let first = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let first = TcpListener::bind((own, 0)).unwrap().local_addr().unwrap();
         let Some(last) = first.port().checked_add(count) else { continue };
-        if (first.port()..last).all(|port| TcpListener::bind(("127.0.0.1", port)).is_ok()) {
+        if (first.port()..last).all(|port| TcpListener::bind((own, port)).is_ok()) {
             return first;
         }
     }
--- a/crates/node/tests/handover.rs
+++ b/crates/node/tests/handover.rs
@@ -2,7 +2,10 @@
 
 mod common;
 
-use common::{command, ended, read, wait_for, CacheServer, Client, Discovery, Folder, Gate, Node, PATIENCE};
+use common::{
+    command, ended, own_loopback, read, wait_for, CacheServer, Client, Discovery, Folder, Gate, Node,
+    PATIENCE,
+};
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -39,7 +42,7 @@
 impl Place {
     /// `pool` is where the list comes from, and `within` the time for each step.
     fn new(pool: &str, within: &str) -> Self {
-        let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let address = TcpListener::bind((own_loopback(), 0)).unwrap().local_addr().unwrap();
         let folder = Folder::new();
         let text = format!(
             "version = 1\n{HAND_OVER}within = \"{within}\"\n[[listener]]\nname = \"clients\"\n\
