--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -334,12 +334,13 @@
 
 static NUMBERS: AtomicU32 = AtomicU32::new(0);
 
-/// An address on loopback that is no other test's: a port there that nobody listens on stays so. On 127.0.0.1 the system gives
-/// it to another test's connection or listener as soon as it is let go.
-pub fn own_loopback() -> Ipv4Addr {
+/// An address on loopback that is no other test's, with a port that nobody listens on. A listener that finds a free port and
+/// lets it go may be held on by a process that another test is just starting (its file descriptors are copied, and closed only
+/// when the program begins), and on 127.0.0.1 the port may go to another test's connection meanwhile.
+pub fn own_address() -> SocketAddr {
     let number = NUMBERS.fetch_add(1, Ordering::SeqCst) % 250;
     let [.., high, low] = std::process::id().to_be_bytes();
-    Ipv4Addr::new(127, 2 + number as u8, high, low.max(1))
+    (Ipv4Addr::new(127, 2 + number as u8, high, low.max(1)), 7070).into()
 }
 
 pub fn write_config(text: &str) -> std::path::PathBuf {
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use common::{command, own_loopback, read, wait_for, CacheServer, Client, Folder, PATIENCE};
+use common::{command, own_address, read, wait_for, CacheServer, Client, Folder, PATIENCE};
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, ChildStdin, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -32,21 +32,9 @@
     lines
 }
 
-/// The first of so many ports in a row that nobody listens on.
-fn free_ports(count: u16) -> SocketAddr {
-    let own = own_loopback();
-    loop {
-        let first = TcpListener::bind((own, 0)).unwrap().local_addr().unwrap();
-        let Some(last) = first.port().checked_add(count) else { continue };
-        if (first.port()..last).all(|port| TcpListener::bind((own, port)).is_ok()) {
-            return first;
-        }
-    }
-}
-
 impl Fleet {
     fn start(server: &CacheServer, instances: u16) -> Self {
-        let (folder, first) = (Folder::new(), free_ports(instances));
+        let (folder, first) = (Folder::new(), own_address());
         let text = format!(
             "version = 1\nname = \"n\"\n[hand_over]\nsocket = \"any\"\nprobation = \"100ms\"\n[[listener]]\nname = \"clients\"\naddress = \"{first}\"\n[[pool]]\nname = \"p\"\n\
              [[pool.server]]\nname = \"box\"\naddress = \"{}\"\n{CLASS}",
--- a/crates/node/tests/handover.rs
+++ b/crates/node/tests/handover.rs
@@ -3,8 +3,7 @@
 mod common;
 
 use common::{
-    command, ended, own_loopback, read, wait_for, CacheServer, Client, Discovery, Folder, Gate, Node,
-    PATIENCE,
+    command, ended, own_address, read, wait_for, CacheServer, Client, Discovery, Folder, Gate, Node, PATIENCE,
 };
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
@@ -42,7 +41,7 @@
 impl Place {
     /// `pool` is where the list comes from, and `within` the time for each step.
     fn new(pool: &str, within: &str) -> Self {
-        let address = TcpListener::bind((own_loopback(), 0)).unwrap().local_addr().unwrap();
+        let address = own_address();
         let folder = Folder::new();
         let text = format!(
             "version = 1\n{HAND_OVER}within = \"{within}\"\n[[listener]]\nname = \"clients\"\n\
