Begin no attempt for a client that has gone, and lose no request that crosses a close

An attempt that waited for its connection began whenever that came up (Upstream::attempt looked at the server, not at the client). - hyper stops reading once bytes of a next request stand in its buffer: the end of the stream behind them was never seen (mid_message_detect_eof), and the node worked and repeated for a client that had gone. - A connection that rests was closed by what the runtime had polled so far. A request already in its socket, or half read, was dropped with it: at the node's end, for want of room, by age. A connection just accepted was closed at once, too, and what came to the machine's queue after the last poll was reset with the listener. Change: a request carries whether its answer is still owed; it ends with the client's connection or the answer, and is looked at where the first byte is written. Bytes sent ahead are read by the table, at most 16 KiB are kept (beyond that the connection closes with the answer), so that the end is seen. Before a resting connection is closed the socket itself is asked; a half request is waited for as long as ever; a silent one has 100 ms from its start; the queue is taken by accept itself. A full table ends another connection where the one that was to make room has been met by a request. Tests moved into test files where touched. The test of the first byte is the same with more cases.

Taking the machine's queue by accept itself and the second look for room have no test.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -140,6 +140,7 @@
                 let id = request_id(ticket);
                 if let Some(open) = self.open.get_mut(&id).filter(|open| open.answer.is_some()) {
                     open.answer = None;
+                    open.message.owed.end();
                     self.due.push_back(Event::Abandoned(id.clone()));
                     self.tidy(&id);
                 }
@@ -348,14 +349,9 @@
         let until = open.until.min(at + timeout);
         self.tally.at(self.clock.at(at)).repeats += u32::from(attempt > 0);
         let (upstream, events) = (self.upstream.clone(), self.events.clone());
-        let (message, over) = (open.message.clone(), open.answer.is_none());
-        let target = server.clone();
+        let (message, target) = (open.message.clone(), server.clone());
         let task = tokio::task::spawn_local(async move {
-            // The request was over when the module sent it: nothing more goes out for it.
-            let ended = match over {
-                true => Ended::without_answer(Status::Ignored),
-                false => upstream.attempt(&target, &message, until).await,
-            };
+            let ended = upstream.attempt(&target, &message, until).await;
             // The driver only goes when the node does.
             let _ = events.send(Input::Ended { id, attempt, ended });
         });
@@ -379,6 +375,7 @@
 }
 
 fn reply(open: &mut Open, answer: Answer) {
+    open.message.owed.end();
     if let Some(sender) = open.answer.take() {
         // A client that has gone meanwhile is owed nothing.
         let _ = sender.send(answer);
--- a/crates/node/src/fronts/http1.rs
+++ b/crates/node/src/fronts/http1.rs
@@ -5,7 +5,7 @@
 use crate::log::log;
 use crate::readiness::Readiness;
 use crate::stage::Stage;
-use crate::upstream::{Message, OpenIds, IDEMPOTENCY_KEY, LARGEST_BODY, REQ_DEADLINE, REQ_ID};
+use crate::upstream::{Message, OpenIds, Owed, IDEMPOTENCY_KEY, LARGEST_BODY, REQ_DEADLINE, REQ_ID};
 use bytes::Bytes;
 use decide::{ClassId, Name, Settings, TenantId};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -14,19 +14,19 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::future::poll_fn;
 use std::hash::{DefaultHasher, Hasher};
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::str::FromStr;
 use std::sync::Arc;
-use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{oneshot, watch, OwnedSemaphorePermit, Semaphore, SemaphorePermit};
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 const REQ_KIND: HeaderName = HeaderName::from_static("req-kind");
 const REQ_OWNER: HeaderName = HeaderName::from_static("req-owner");
@@ -41,6 +41,8 @@
 const ACCEPT_QUEUE: usize = 1024;
 /// A full table in which nothing can give way yet is looked at again after this.
 const ROOM_PAUSE: Duration = Duration::from_millis(10);
+/// A connection that was asked to make room has done so by then, or never will.
+const ROOM_WAIT: Duration = Duration::from_millis(100);
 
 /// A class of requests, as a front has to know it.
 pub struct Class {
@@ -160,14 +162,21 @@
     // What waits in the machine's queue by now was taken all the same: it is served as places become free.
     for _ in 0..ACCEPT_QUEUE {
         let Ok(slot) = slots.clone().acquire_owned().await else { break };
-        match poll_fn(|cx| Poll::Ready(listener.poll_accept(cx))).await {
-            Poll::Ready(Ok((stream, _))) => spawn_connection(stream, slot, &stage, &front),
-            Poll::Ready(Err(_)) => {}
-            Poll::Pending => break,
+        match accept_waiting(&listener) {
+            Ok(stream) => spawn_connection(stream, slot, &stage, &front),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+            Err(_) => {}
         }
     }
 }
 
+/// Asks the machine itself, and not the runtime: what came since that was last polled would be reset with the listener.
+fn accept_waiting(listener: &TcpListener) -> std::io::Result<TcpStream> {
+    let (socket, _) = SockRef::from(listener).accept()?;
+    socket.set_nonblocking(true)?;
+    TcpStream::from_std(socket.into())
+}
+
 fn spawn_connection(
     stream: TcpStream,
     slot: OwnedSemaphorePermit,
@@ -176,9 +185,9 @@
 ) {
     let (stage, front) = (stage.clone(), front.clone());
     // In the table at once: room that is made before it is first polled must see it.
-    let place = Place::new(front.table.clone());
+    let place = Place::new(front.table.clone(), stream);
     tokio::task::spawn_local(async move {
-        connection(stream, place, stage, front).await;
+        connection(place, stage, front).await;
         drop(slot);
     });
 }
@@ -190,17 +199,20 @@
 ) -> std::io::Result<(TcpStream, OwnedSemaphorePermit)> {
     // Clients keep the connections they have: left idle, they would keep all others out of a full table, and
     // the machine takes requests on connections that the node has not accepted yet.
-    while slots.available_permits() == 0 && !table.make_room() {
-        sleep(ROOM_PAUSE).await;
-    }
-    let slot = slots.clone().acquire_owned().await.map_err(std::io::Error::other)?;
+    let slot = loop {
+        while slots.available_permits() == 0 && !table.make_room() {
+            sleep(ROOM_PAUSE).await;
+        }
+        // The one that was to make room stays if a request meets it just then: another has to.
+        if let Ok(slot) = timeout(ROOM_WAIT, slots.clone().acquire_owned()).await {
+            break slot.map_err(std::io::Error::other)?;
+        }
+    };
     let (stream, _) = listener.accept().await?;
     Ok((stream, slot))
 }
 
-async fn connection(stream: TcpStream, place: Place, stage: watch::Receiver<Stage>, front: Rc<Front>) {
-    // It fails only where the client has gone already, as the first read then tells.
-    let _ = stream.set_nodelay(true);
+async fn connection(place: Place, stage: watch::Receiver<Stage>, front: Rc<Front>) {
     let (place, front, stage) = (&place, &*front, &stage);
     let service = service_fn(|request: Request<Incoming>| {
         // Not in the future: hyper reads on before it polls that for the first time.
@@ -213,13 +225,14 @@
     });
     let mut http = http1::Builder::new();
     http.max_buf_size(LARGEST_HEAD);
-    let serving = http.serve_connection(place.watch(stream), service);
+    let serving = http.serve_connection(place.watch(), service);
     place.drive(serving, |serving| serving.graceful_shutdown(), stage.clone()).await;
 }
 
 /// Tells the driver of a client that left: hyper drops the answer's future with its connection.
 struct Waiting {
     ticket: u64,
+    owed: Owed,
     events: UnboundedSender<Input>,
     answered: bool,
 }
@@ -227,6 +240,8 @@
 impl Drop for Waiting {
     fn drop(&mut self) {
         if !self.answered {
+            // At once, and not when the driver hears of it: no attempt begins in between.
+            self.owed.end();
             // The driver may have gone with all that it had.
             let _ = self.events.send(Input::Left(self.ticket));
         }
@@ -303,7 +318,8 @@
     let id =
         front.open.enter(asked.id).ok_or_else(|| plain(StatusCode::CONFLICT, "Req-Id is open already"))?;
     place.opened();
-    let message = Message { method: head.method, target, id, idempotency_key: asked.idempotency_key, body };
+    let (method, idempotency_key, owed) = (head.method, asked.idempotency_key, Owed::new());
+    let message = Message { method, target, id, idempotency_key, body, owed };
     Ok(hand_over(front, at, key, asked.terms, message).await)
 }
 
@@ -385,6 +401,7 @@
 
 async fn hand_over(front: &Front, at: Instant, key: u64, terms: Terms, message: Message) -> Reply {
     let ticket = front.tickets.replace(front.tickets.get() + 1);
+    let owed = message.owed.clone();
     let (sender, receiver) = oneshot::channel();
     let taken = Taken {
         ticket,
@@ -401,7 +418,7 @@
     };
     // The driver only goes when nothing leads to it any more; its silence is a failure all the same.
     let _ = terms.events.send(Input::Taken(Box::new(taken)));
-    let mut waiting = Waiting { ticket, events: terms.events, answered: false };
+    let mut waiting = Waiting { ticket, owed, events: terms.events, answered: false };
     let answer = receiver.await.unwrap_or(Answer::Failed);
     waiting.answered = true;
     match answer {
--- a/crates/node/src/fronts/table.rs
+++ b/crates/node/src/fronts/table.rs
@@ -2,20 +2,22 @@
 //! and which one gives way when no place is left.
 
 use crate::stage::Stage;
-use bytes::Bytes;
+use bytes::{Buf, BytesMut};
 use hyper::rt::{Read, ReadBufCursor, Write};
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::io;
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::{watch, Notify};
-use tokio::time::{interval, Instant};
+use tokio::time::{interval, sleep_until, Instant};
 
 /// From its first byte, or from the connection's start for the first one, a request has come whole by then. A
 /// client is owed an error or a close within 3 s, whatever it sends or leaves out.
@@ -39,6 +41,12 @@
 const CLIENTS_PART: usize = 3;
 /// Bytes read from a socket at once.
 const READ: usize = 8 << 10;
+/// Bytes of next requests that are kept while one is under way: a longest head. What a client sends beyond that is read and
+/// dropped, to see the end of the stream behind it, and its connection closes with the answer: the end of a client whose bytes
+/// nobody reads does not even reach this machine.
+const AHEAD: usize = 16 << 10;
+/// At the node's end a connection that has said nothing yet is given so long from its start: its first request is on its way.
+const GREETING: Duration = Duration::from_millis(100);
 
 /// What a connection is at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -81,11 +89,14 @@
 #[derive(Debug)]
 struct State {
     number: u64,
+    socket: Rc<TcpStream>,
     tally: Rc<Tally>,
     phase: Cell<Phase>,
     since: Cell<Instant>,
     /// Bytes came before the answer to the last request was out: the next request has begun.
     ahead: Cell<bool>,
+    /// More than [`AHEAD`] of them: some were dropped, and no next request is read.
+    overrun: Cell<bool>,
     /// Bytes of the request's body that have not come yet; `None` before its head has come.
     body: Cell<Option<usize>>,
     line: Cell<Line>,
@@ -156,6 +167,26 @@
         }
     }
 
+    /// Whether something stands in the socket that nobody has read: a request that came in the very moment in which this
+    /// connection would be closed, and has been taken. The runtime may not have polled for it yet. An end of the stream, or a
+    /// reset, is nothing to be read.
+    fn has_unread(&self) -> bool {
+        SockRef::from(&*self.socket).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|bytes| bytes > 0)
+    }
+
+    /// Whether the request under way has come whole and is not answered yet: what comes now belongs to the next one.
+    fn is_ahead(&self) -> bool {
+        self.body.get() == Some(0)
+    }
+
+    /// It was told to end and does not: a request has come meanwhile.
+    fn stay(&self) {
+        self.leaving.set(false);
+        if self.phase.get() == Phase::Idle {
+            self.tally.idle.borrow_mut().insert((self.since.get(), self.number));
+        }
+    }
+
     fn end(&self) {
         // From now on its place counts as one that will be free.
         self.tally.idle.borrow_mut().remove(&(self.since.get(), self.number));
@@ -218,9 +249,12 @@
 
     /// Ends the longest idle connection if nobody has used it for long enough; whether it did.
     fn end_unused(&self) -> bool {
-        let longest = self.tally.idle.borrow().first().copied();
-        let unused = longest.filter(|(since, _)| since.elapsed() >= UNUSED);
-        let found = unused.and_then(|(_, number)| self.states.borrow().get(&number).cloned());
+        let states = self.states.borrow();
+        let found = {
+            let idle = self.tally.idle.borrow();
+            let unused = idle.iter().take_while(|(since, _)| since.elapsed() >= UNUSED);
+            unused.filter_map(|(_, number)| states.get(number)).find(|state| !state.has_unread()).cloned()
+        };
         found.inspect(|state| state.end()).is_some()
     }
 
@@ -240,7 +274,10 @@
         let oldest = |phase, age| {
             let mut all: Vec<_> = states.values().filter(|state| !state.leaving.get()).collect();
             all.retain(|state| state.phase.get() == phase && state.since.get().elapsed() >= age);
-            all.into_iter().min_by_key(|state| state.since.get())
+            all.sort_by_key(|state| state.since.get());
+            // Of those between two requests only one that no request has met.
+            let rests = matches!(phase, Phase::Silent | Phase::Idle);
+            all.into_iter().find(|state| !rests || !state.has_unread())
         };
         let found = oldest(Phase::Lingering, Duration::ZERO)
             .or_else(|| oldest(Phase::Silent, SILENCE))
@@ -279,14 +316,18 @@
 }
 
 impl Place {
-    pub fn new(table: Rc<Table>) -> Self {
+    pub fn new(table: Rc<Table>, socket: TcpStream) -> Self {
         let number = table.next.replace(table.next.get() + 1);
+        // It fails only where the client has gone already, as the first read then tells.
+        let _ = socket.set_nodelay(true);
         let state = Rc::new(State {
             number,
+            socket: Rc::new(socket),
             tally: table.tally.clone(),
             phase: Cell::new(Phase::Silent),
             since: Cell::new(Instant::now()),
             ahead: Cell::default(),
+            overrun: Cell::default(),
             body: Cell::default(),
             line: Cell::default(),
             leaving: Cell::default(),
@@ -311,9 +352,9 @@
     }
 
     /// Whether the connection should stay open after the answer that is at hand. One that has begun its next
-    /// request must: that request has been taken.
+    /// request must: that request has been taken. One that sent more ahead than is kept cannot.
     pub fn keeps(&self) -> bool {
-        self.state.ahead.get() || self.table.keeps_one_more()
+        !self.state.overrun.get() && (self.state.ahead.get() || self.table.keeps_one_more())
     }
 
     /// Its answer is at hand.
@@ -322,8 +363,9 @@
     }
 
     /// The socket, which tells the table what passes on it.
-    pub fn watch(&self, stream: TcpStream) -> Heard {
-        Heard { stream, state: self.state.clone(), kept: Bytes::new(), dropped: 0 }
+    pub fn watch(&self) -> Heard {
+        let (socket, state) = (self.state.socket.clone(), self.state.clone());
+        Heard { socket, state, kept: BytesMut::new(), dropped: 0 }
     }
 
     /// Drives a connection to its end: what was taken is finished when the node closes; a connection whose
@@ -334,7 +376,8 @@
     {
         let mut serving = pin!(serving);
         let mut closing = pin!(stage.wait_for(|stage| *stage == Stage::Closing));
-        let mut closed = false;
+        let mut greeted = pin!(sleep_until(self.state.since.get() + GREETING));
+        let (mut closed, mut greeting) = (false, false);
         loop {
             tokio::select! {
                 biased;
@@ -342,15 +385,33 @@
                 _ = &mut serving => return,
                 _ = &mut closing, if !closed => {
                     closed = true;
-                    close(serving.as_mut());
+                    greeting = self.state.phase.get() == Phase::Silent;
+                    if !greeting {
+                        self.close(serving.as_mut(), &close);
+                    }
+                }
+                () = &mut greeted, if greeting => {
+                    greeting = false;
+                    self.close(serving.as_mut(), &close);
                 }
                 () = self.state.close.notified() => match self.state.phase.get() {
                     Phase::Asking | Phase::Answering | Phase::Lingering => return,
+                    Phase::Silent | Phase::Idle if self.state.has_unread() => self.state.stay(),
                     _ => close(serving.as_mut()),
                 },
             }
         }
     }
+
+    /// Closes it for the node's end. A request that has begun to come is waited for as long as ever, and its answer closes the
+    /// connection: hyper would drop what it has read of it, and what stands in the socket.
+    fn close<C>(&self, serving: Pin<&mut C>, close: &impl Fn(Pin<&mut C>)) {
+        match self.state.phase.get() {
+            Phase::Asking => {}
+            Phase::Silent | Phase::Idle if self.state.has_unread() => {}
+            _ => close(serving),
+        }
+    }
 }
 
 impl Drop for Place {
@@ -365,35 +426,89 @@
 
 /// A client's socket under its place's eyes.
 pub struct Heard {
-    stream: TcpStream,
+    socket: Rc<TcpStream>,
     state: Rc<State>,
-    /// Bytes of the next request, until this one's end is read.
-    kept: Bytes,
+    /// Bytes of next requests, until this one's answer is out.
+    kept: BytesMut,
     /// Bytes dropped while lingering.
     dropped: usize,
 }
 
+impl Heard {
+    fn poll_bytes(&self, cx: &mut Context<'_>, bytes: &mut [u8]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.socket.poll_read_ready(cx))?;
+            match self.socket.try_read(bytes) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                read => return Poll::Ready(read),
+            }
+        }
+    }
+
+    fn poll_written(
+        &self,
+        cx: &mut Context<'_>,
+        mut write: impl FnMut() -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.socket.poll_write_ready(cx))?;
+            match write() {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                wrote => return Poll::Ready(wrote),
+            }
+        }
+    }
+
+    /// Reads on while a request is under way, for the sake of the end of the stream: a client that closes has gone. Given to
+    /// hyper, what comes ahead would keep it from looking further. Ready only at the end.
+    fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.state.ahead.set(self.state.ahead.get() || !self.kept.is_empty());
+        loop {
+            // Whether the connection goes on is decided by now: what is left stays in the socket.
+            let answering = self.state.phase.get() == Phase::Answering;
+            let room = if answering { AHEAD.saturating_sub(self.kept.len()).min(READ) } else { READ };
+            if room == 0 {
+                return Poll::Pending;
+            }
+            let mut bytes = [0; READ];
+            let read = ready!(self.poll_bytes(cx, &mut bytes[..room]))?;
+            if read == 0 {
+                return Poll::Ready(Ok(()));
+            }
+            self.state.ahead.set(true);
+            if self.kept.len() + read <= AHEAD {
+                self.kept.extend_from_slice(&bytes[..read]);
+            } else {
+                self.state.overrun.set(true);
+            }
+        }
+    }
+}
+
 impl Read for Heard {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.state.is_ahead() {
+            return self.poll_gone(cx);
+        }
         let room = buf.remaining().min(READ);
         if self.kept.is_empty() {
             let mut bytes = [0; READ];
-            let mut read = ReadBuf::new(&mut bytes[..room]);
-            ready!(Pin::new(&mut self.stream).poll_read(cx, &mut read))?;
-            let (now, next) = read.filled().split_at(self.state.measure(read.filled()));
+            let read = ready!(self.poll_bytes(cx, &mut bytes[..room]))?;
+            let (now, next) = bytes[..read].split_at(self.state.measure(&bytes[..read]));
             buf.put_slice(now);
-            self.kept = Bytes::copy_from_slice(next);
+            self.kept.extend_from_slice(next);
             if now.is_empty() {
                 return Poll::Ready(Ok(()));
             }
         } else {
             let offered = room.min(self.kept.len());
             let taken = self.state.measure(&self.kept[..offered]);
-            buf.put_slice(&self.kept.split_to(taken));
+            buf.put_slice(&self.kept[..taken]);
+            self.kept.advance(taken);
         }
         match self.state.phase.get() {
             // The time of the first request runs from the connection's start.
@@ -406,24 +521,27 @@
 }
 
 impl Write for Heard {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_written(cx, || self.socket.try_write(buf))
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let flushed = Pin::new(&mut self.stream).poll_flush(cx);
-        // hyper flushes the socket only once all of an answer is written.
-        if self.state.phase.get() == Phase::Answering && matches!(flushed, Poll::Ready(Ok(()))) {
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // hyper flushes the socket only once all of an answer is written; the socket itself holds nothing back.
+        if self.state.phase.get() == Phase::Answering {
             self.state.body.set(None);
             self.state.enter(if self.state.ahead.get() { Phase::Asking } else { Phase::Idle });
+            if !self.kept.is_empty() {
+                // hyper was told that nothing is there to be read.
+                cx.waker().wake_by_ref();
+            }
         }
-        flushed
+        Poll::Ready(Ok(()))
     }
 
     /// Closes the node's side, then drops what comes until the client closes its own.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.state.phase.get() != Phase::Lingering {
-            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+            SockRef::from(&*self.socket).shutdown(Shutdown::Write)?;
             // Told to end between two requests, it has no answer on its way.
             if self.state.leaving.get() {
                 return Poll::Ready(Ok(()));
@@ -432,72 +550,26 @@
         }
         let mut bytes = [0; READ];
         while self.dropped < LINGER_BYTES {
-            let mut read = ReadBuf::new(&mut bytes);
-            ready!(Pin::new(&mut self.stream).poll_read(cx, &mut read))?;
-            if read.filled().is_empty() {
-                break;
+            match ready!(self.poll_bytes(cx, &mut bytes))? {
+                0 => break,
+                read => self.dropped += read,
             }
-            self.dropped += read.filled().len();
         }
         Poll::Ready(Ok(()))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        self.poll_written(cx, || self.socket.try_write_vectored(bufs))
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn worth_keeping(descriptors: usize, in_use: usize) -> usize {
-        Table::new(descriptors, (descriptors - 24) / 2).worth_keeping(in_use)
-    }
-
-    // Guards against a bound that suits one size of node: it follows the descriptors and what is in use.
-    #[test]
-    fn half_of_the_free_places_may_lie_idle() {
-        assert_eq!([0, 21, 85, 1000].map(|n| worth_keeping(256, n)), [42, 32, 0, 0]);
-        assert_eq!([0, 845, 21_845].map(|n| worth_keeping(65_536, n)), [10_922, 10_500, 0]);
-        // So few descriptors that the node's own share, not the clients', is the smaller.
-        assert_eq!([0, 4].map(|n| worth_keeping(40, n)), [4, 2]);
-    }
-
-    fn state() -> Rc<State> {
-        Place::new(Rc::new(Table::new(256, 116))).state.clone()
-    }
-
-    // Guards against a next request that hides in hyper's buffer when the connection closes.
-    #[test]
-    fn a_request_ends_where_its_head_and_body_do_however_the_bytes_come() {
-        let heads =
-            ["GET / HTTP/1.1\r\nA: b\r\n\r\n", "GET / HTTP/1.1\nA: b\n\n", "\r\n\r\nGET / HTTP/1.1\r\n\r\n"];
-        for head in heads {
-            let text = format!("{head}bodyGET /next");
-            for cut in 1..text.len() {
-                let (state, mut read, mut from) = (state(), 0, 0);
-                for piece in [&text[..cut], &text[cut..]] {
-                    let mut piece = piece.as_bytes();
-                    while !piece.is_empty() && read < head.len() + 4 {
-                        let taken = state.measure(piece);
-                        (read, piece) = (read + taken, &piece[taken..]);
-                        if read == head.len() && from == 0 {
-                            from = read;
-                            state.body.set(Some(4));
-                        }
-                    }
-                }
-                assert_eq!((from, read), (head.len(), head.len() + 4), "{head:?} cut at {cut}");
-            }
-        }
-    }
-}
+mod tests;
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -48,6 +48,28 @@
     pub id: OpenId,
     pub idempotency_key: Option<HeaderValue>,
     pub body: Bytes,
+    pub owed: Owed,
+}
+
+/// Whether a request is still owed its final answer: its client waits, and has none yet. Set where a client is seen to leave,
+/// and looked at where the first byte of an attempt is written: no queue lies between the two.
+#[derive(Clone, Debug)]
+pub struct Owed(Rc<Cell<bool>>);
+
+impl Owed {
+    /// One that has just been taken.
+    pub fn new() -> Self {
+        Self(Rc::new(Cell::new(true)))
+    }
+
+    /// The answer is given, or the client has left.
+    pub fn end(&self) {
+        self.0.set(false);
+    }
+
+    pub fn holds(&self) -> bool {
+        self.0.get()
+    }
 }
 
 /// The ids of requests that have no final answer yet or an attempt out.
@@ -93,18 +115,26 @@
 }
 
 /// Whether a request has left this machine's hands whole.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Written {
     begun: Cell<bool>,
     whole: Cell<bool>,
-    /// The connection has carried an answer before.
+    /// The connection was kept before this request.
     reused: Cell<bool>,
+    /// Of the request that is to be written, or was written last.
+    owed: RefCell<Owed>,
 }
 
 impl Written {
-    fn reset(&self) {
+    fn new(owed: Owed) -> Self {
+        let [begun, whole, reused] = [false; 3].map(Cell::new);
+        Self { begun, whole, reused, owed: RefCell::new(owed) }
+    }
+
+    fn reset(&self, owed: &Owed) {
         self.begun.set(false);
         self.whole.set(false);
+        self.owed.replace(owed.clone());
     }
 }
 
@@ -118,14 +148,14 @@
 }
 
 impl Watched {
-    /// Before the first byte of a request: the server must still take work, whatever was so when the request set out. And on
-    /// a kept connection nothing may stand there to be read. hyper looks as well, but only as far as the runtime has polled,
+    /// Before the first byte of a request: its answer must still be owed and the server still take work, whatever was so when
+    /// the request set out. And on a kept connection nothing may stand there to be read. hyper looks as well, but only as far as the runtime has polled,
     /// and would take what lies in the socket (a second copy of the last answer, noise) for the answer to this request.
     fn check(&self) -> io::Result<()> {
         if self.written.begun.get() {
             return Ok(());
         }
-        if !self.takes_work.get() {
+        if !self.takes_work.get() || !self.written.owed.borrow().holds() {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
         if !self.written.reused.get() {
@@ -235,6 +265,17 @@
     idle: RefCell<Vec<Connection>>,
 }
 
+impl Peer {
+    /// Keeps a connection on which nothing is under way.
+    fn keep(&self, mut connection: Connection) {
+        if self.takes_work.get() && !connection.sender.is_closed() {
+            connection.written.reused.set(true);
+            connection.kept = Instant::now();
+            self.idle.borrow_mut().push(connection);
+        }
+    }
+}
+
 /// All cache servers, by id.
 pub struct Upstream {
     peers: RefCell<HashMap<ServerId, Rc<Peer>>>,
@@ -313,32 +354,40 @@
         let peer = self.peers.borrow().get(server).cloned();
         let Some(peer) = peer else { return Ended::without_answer(Status::ConnectError) };
         loop {
-            // Nothing new after a drain. Its news may also come while the connection is being made: the connection itself looks
-            // once more before the first byte.
+            // Nothing new after a drain, nor for a request that is over. Either may also come about while the connection is
+            // being made: the connection itself looks once more before the first byte.
+            if !message.owed.holds() {
+                return Ended::without_answer(Status::Ignored);
+            }
             if !peer.takes_work.get() {
                 return Ended::without_answer(Status::ConnectError);
             }
-            let mut connection = match timeout_at(until, self.connection(&peer)).await {
+            let mut connection = match timeout_at(until, self.connection(&peer, &message.owed)).await {
                 Ok(Ok(connection)) => connection,
                 // The node's own want says nothing of the server.
                 Ok(Err(error)) if own_fault(&error) => return Ended::without_answer(Status::Ignored),
                 _ => return Ended::without_answer(Status::ConnectError),
             };
+            if !message.owed.holds() {
+                // What was made for it serves the next one.
+                peer.keep(connection);
+                return Ended::without_answer(Status::Ignored);
+            }
             let Ok(request) = request(&peer, message, until) else {
                 return Ended::without_answer(Status::ConnectError);
             };
-            connection.written.reset();
+            connection.written.reset(&message.owed);
             let answer = timeout_at(until, exchange(&mut connection.sender, request)).await;
-            let Written { begun, whole, reused } = &*connection.written;
+            let Written { begun, whole, reused, .. } = &*connection.written;
             return match answer {
                 Ok(Ok((ended, reusable))) => {
-                    if reusable && peer.takes_work.get() && !connection.sender.is_closed() {
-                        reused.set(true);
-                        connection.kept = Instant::now();
-                        peer.idle.borrow_mut().push(connection);
+                    if reusable {
+                        peer.keep(connection);
                     }
                     ended
                 }
+                // It was over before its first byte.
+                _ if !begun.get() && !message.owed.holds() => Ended::without_answer(Status::Ignored),
                 // A kept connection that turned out to be spent: not a byte went out, another one serves.
                 Ok(Err(_)) if reused.get() && !begun.get() => continue,
                 Ok(Err(_)) if whole.get() => Ended::without_answer(Status::Reset),
@@ -348,7 +397,7 @@
         }
     }
 
-    async fn connection(&self, peer: &Peer) -> io::Result<Connection> {
+    async fn connection(&self, peer: &Peer, owed: &Owed) -> io::Result<Connection> {
         loop {
             let kept = peer.idle.borrow_mut().pop();
             let Some(mut kept) = kept else { break };
@@ -360,7 +409,7 @@
         let connecting = async {
             let stream = TcpStream::connect(peer.dial.get()).await?;
             stream.set_nodelay(true)?;
-            let written = Rc::new(Written::default());
+            let written = Rc::new(Written::new(owed.clone()));
             let watched = Watched {
                 stream: TokioIo::new(stream),
                 written: written.clone(),
@@ -464,38 +513,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use hyper::rt::Write;
-    use tokio::io::AsyncReadExt;
-    use tokio::net::TcpListener;
-
-    // The news of a drain may come between an attempt's look at its server and the moment at which hyper writes.
-    #[tokio::test]
-    async fn a_request_whose_server_drains_before_its_first_byte_writes_none_and_one_that_has_begun_goes_on()
-    {
-        for (begun, takes_work, writes) in
-            [(false, true, true), (false, false, false), (true, false, true), (true, true, true)]
-        {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
-            let address = listener.local_addr().expect("its address");
-            let stream = TcpStream::connect(address).await.expect("a connection");
-            let (mut server, _) = listener.accept().await.expect("the other end");
-            let written = Rc::new(Written::default());
-            written.begun.set(begun);
-            let takes_work = Rc::new(Cell::new(takes_work));
-            let mut watched = Watched {
-                stream: TokioIo::new(stream),
-                written: written.clone(),
-                takes_work: takes_work.clone(),
-            };
-            let wrote = std::future::poll_fn(|cx| Pin::new(&mut watched).poll_write(cx, b"GET")).await;
-            assert_eq!(wrote.is_ok(), writes, "begun {begun}, takes work {takes_work:?}");
-            assert_eq!(written.begun.get(), begun || writes);
-            drop(watched);
-            let mut read = Vec::new();
-            server.read_to_end(&mut read).await.expect("the end");
-            assert_eq!(read.len(), if writes { 3 } else { 0 });
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/node/src/upstream/tests.rs
@@ -0,0 +1,43 @@
+use super::*;
+use hyper::rt::Write;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+
+// The news of a drain, or the end of the client's connection, may come between an attempt's look and the moment at which hyper
+// writes.
+#[tokio::test]
+async fn a_request_that_is_overtaken_before_its_first_byte_writes_none_and_one_that_has_begun_goes_on() {
+    let cases = [
+        (false, true, true, true),
+        (false, false, true, false),
+        (false, true, false, false),
+        (true, false, true, true),
+        (true, true, false, true),
+        (true, true, true, true),
+    ];
+    for (begun, takes_work, owed, writes) in cases {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("its address");
+        let stream = TcpStream::connect(address).await.expect("a connection");
+        let (mut server, _) = listener.accept().await.expect("the other end");
+        let waits = Owed::new();
+        let written = Rc::new(Written::new(waits.clone()));
+        written.begun.set(begun);
+        if !owed {
+            waits.end();
+        }
+        let takes_work = Rc::new(Cell::new(takes_work));
+        let mut watched = Watched {
+            stream: TokioIo::new(stream),
+            written: written.clone(),
+            takes_work: takes_work.clone(),
+        };
+        let wrote = std::future::poll_fn(|cx| Pin::new(&mut watched).poll_write(cx, b"GET")).await;
+        assert_eq!(wrote.is_ok(), writes, "begun {begun}, takes work {takes_work:?}, owed {owed}");
+        assert_eq!(written.begun.get(), begun || writes);
+        drop(watched);
+        let mut read = Vec::new();
+        server.read_to_end(&mut read).await.expect("the end");
+        assert_eq!(read.len(), if writes { 3 } else { 0 });
+    }
+}
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -468,12 +468,17 @@
 /// A client's connection.
 pub struct Client(BufReader<TcpStream>);
 
-impl Client {
-    pub fn to(address: SocketAddr) -> Self {
-        let stream = TcpStream::connect(address).unwrap();
+impl From<TcpStream> for Client {
+    fn from(stream: TcpStream) -> Self {
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         Self(BufReader::new(stream))
     }
+}
+
+impl Client {
+    pub fn to(address: SocketAddr) -> Self {
+        TcpStream::connect(address).unwrap().into()
+    }
 
     pub fn send(&mut self, text: &str) {
         self.0.get_mut().write_all(text.as_bytes()).unwrap();
