Ask again in time for news to count as told, whatever became of the last calls

Cause: after calls that failed the back-off grew with the nodes (50 ms each for changes, to 15 s at 300; 250 ms each for whole lists) and was bounded by the time for which a failed call was good. By the new term what discovery has counts as told 6 s after it could be reached, whatever followed a failed, refused or given-up call. Lines at fault: Asking::ended in decide/src/asking.rs. Change: where changes are asked for, or no connection came up, the step is at most 3 s less the time for which the connection was tried; the other 3 s are the next call's turn. The draw is of the bounded step, so that nodes do not come together at the bound. The watch after a failure or a dead watch is short (3 s, or 50 ms for each node): it may be swallowed as well. Whole lists of a discovery that refuses are asked for as before: calls that fail there take what it has.

--- a/crates/decide/src/asking.rs
+++ b/crates/decide/src/asking.rs
@@ -10,7 +10,9 @@
 //!
 //! After calls that failed: exponential back-off with full jitter (M. Brooker, "Exponential Backoff And Jitter", AWS
 //! Architecture Blog, 2015), with an upper end that grows with the number of nodes: all together then ask about as often as
-//! discovery can answer, however many they are.
+//! discovery can answer, however many they are. But whatever came of a call, what discovery has counts as told [`TOLD`] after
+//! it could be reached. So a node that asks for changes, and one that did not reach it at all, asks again early enough for its
+//! turn to come within that time, and its next watch is a short one: it may be swallowed as the last call was.
 
 use crate::api::Settings;
 use std::time::Duration;
@@ -23,6 +25,11 @@
 const SHORTEST_WATCH: Duration = Duration::from_secs(10);
 /// So long after a wait is over what a watch would have told counts as told. Of the protocol.
 pub const COUNTED: Duration = Duration::from_secs(2);
+/// So long after discovery had it and could be reached a change counts as told to a node whose last call failed, was refused
+/// or was given up. Of the operators' acceptance.
+pub const TOLD: Duration = Duration::from_secs(6);
+/// And of that so much is left for the call that is to hear of it: discovery lets none wait longer for its turn.
+const TURN: Duration = Duration::from_secs(3);
 /// A watch that says nothing for this long after its wait is dead. The rest of [`COUNTED`], and the grace, are there for the
 /// next call: its connection, and its turn among those of other nodes.
 const OVERDUE: Duration = Duration::from_millis(500);
@@ -112,7 +119,12 @@
     },
     /// It was given up: no answer, or no end of one, in [`Call::limit`].
     Overdue,
-    /// In any other way.
+    /// Discovery was not reached: no connection to it has come up.
+    Unreached {
+        /// For so long it was tried.
+        took: Duration,
+    },
+    /// In any other way: refused, broken off, or with a list that is not taken.
     Failed,
 }
 
@@ -137,10 +149,18 @@
         if !for_changes {
             return Call { wait: Duration::ZERO, limit: LIST };
         }
-        let wait = SHORTEST_WATCH + (LONGEST_WATCH - SHORTEST_WATCH).mul_f64(part(draw));
+        let drawn = SHORTEST_WATCH + (LONGEST_WATCH - SHORTEST_WATCH).mul_f64(part(draw));
+        // Not sooner again than all nodes have had their turn: their first calls after a failure go before second ones.
+        let doubtful = self.dead || self.failures > 0;
+        let wait = if doubtful { drawn.min(longest(CHANGES, terms.nodes)) } else { drawn };
         Call { wait, limit: wait + OVERDUE }
     }
 
+    /// Calls in a row that failed.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
     /// Takes in how this call ended and gives the pause before the next one. `for_changes` is of the next.
     pub fn ended(&mut self, terms: Terms, call: Call, end: End, for_changes: bool, draw: f64) -> Duration {
         // A call that waits for nothing but its turn was given up because discovery has too much to do.
@@ -152,31 +172,46 @@
                 *self = Self { unwaited, ..Self::default() };
                 // The watch goes on after one such answer. A discovery that never waits is asked now and then, well within the
                 // time for which its last answer is good.
-                self.pause(terms, unwaited.saturating_sub(1), terms.nodes, true, draw).min(terms.within / 2)
+                self.pause(terms, unwaited.saturating_sub(1), terms.nodes, true, draw, terms.within / 2)
             }
             // Discovery refused nothing: what keeps the nodes apart is that their waits were drawn.
             End::Overdue if watch => {
                 *self = Self { dead: true, ..Self::default() };
                 Duration::ZERO
             }
-            End::Overdue | End::Failed => {
+            End::Overdue | End::Unreached { .. } | End::Failed => {
                 (self.failures, self.unwaited) = (self.failures.saturating_add(1), 0);
                 let nodes = if self.dead && self.failures <= URGENT { 1 } else { terms.nodes };
-                // A call that failed is good for four times as long as one that did not. Half of that is left for the next.
-                // Whole lists are not asked for sooner than discovery may be able to send them: calls that fail would take
-                // what it has.
-                let longest = if for_changes { terms.within * 2 } else { Duration::MAX };
-                self.pause(terms, self.failures, nodes, for_changes, draw).min(longest)
+                let (reached, took) = match end {
+                    End::Unreached { took } => (false, took),
+                    End::Overdue => (true, call.limit),
+                    _ => (true, Duration::ZERO),
+                };
+                // It may have come back right after this call set out. Whole lists are not asked for sooner than a discovery
+                // that refuses may be able to send them: calls that fail would take what it has. One that is not reached
+                // loses nothing by being asked.
+                let soon = (TOLD - TURN).saturating_sub(took).max(STEP).min(terms.within * 2);
+                let most = if for_changes || !reached { soon } else { Duration::MAX };
+                self.pause(terms, self.failures, nodes, for_changes, draw, most)
             }
         }
     }
 
-    /// An agent is nobody else's, and is asked again soon.
-    fn pause(self, terms: Terms, times: u32, nodes: u32, for_changes: bool, draw: f64) -> Duration {
+    /// An agent is nobody else's, and is asked again soon. `most` bounds the step, not what is drawn of it: the nodes whose
+    /// steps are longer would all come together at that bound.
+    fn pause(
+        self,
+        terms: Terms,
+        times: u32,
+        nodes: u32,
+        for_changes: bool,
+        draw: f64,
+        most: Duration,
+    ) -> Duration {
         match (terms.asked, times) {
             (_, 0) => Duration::ZERO,
             (false, _) => terms.part(AGENT_PAUSE),
-            (true, _) => wait(nodes, times, for_changes, draw),
+            (true, _) => wait(nodes, times, for_changes, 1.0).min(most).mul_f64(part(draw)),
         }
     }
 }
@@ -187,12 +222,16 @@
     if failures == 0 {
         return Duration::ZERO;
     }
-    let share = if holds_list { CHANGES } else { WHOLE };
-    let longest = LONGEST.max(share.saturating_mul(nodes));
+    let longest = longest(if holds_list { CHANGES } else { WHOLE }, nodes);
     let step = STEP.max(longest / STEPS).saturating_mul(1 << failures.min(16)).min(longest);
     step.mul_f64(part(draw))
 }
 
+/// The longest step of so many nodes, of which each costs discovery this much.
+fn longest(share: Duration, nodes: u32) -> Duration {
+    LONGEST.max(share.saturating_mul(nodes))
+}
+
 fn part(draw: f64) -> f64 {
     if draw.is_nan() {
         1.0
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -112,7 +112,11 @@
                     if self.heed(&read) {
                         self.membership.heeded();
                     }
-                    let end = if matches!(error, CallError::Overdue) { End::Overdue } else { End::Failed };
+                    let end = match error {
+                        CallError::Overdue => End::Overdue,
+                        CallError::Connect(_) => End::Unreached { took: began.elapsed() },
+                        _ => End::Failed,
+                    };
                     (Input::ListingFailed, end)
                 }
             };
