Begin no repeat after its window, however late its connection comes up

Cause, found by reading: whether a keyed request may be repeated is decided when the repeat sets out (Balancer::may_send). Its connection may then come up until the connect time-out, and the request was written whenever that was: with a window shorter than a connect it ran a second time. Lines at fault: Action::Send told an end of the attempt and no end for its beginning.

--- a/crates/decide/src/api.rs
+++ b/crates/decide/src/api.rs
@@ -446,6 +446,9 @@
         server: ServerId,
         /// Time-out of the attempt; the client's own end of patience cuts it short.
         timeout: Duration,
+        /// It begins within this time or not at all: a repeat past its window would run a second time. `None` where nothing
+        /// but the time-out bounds it.
+        begin_within: Option<Duration>,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -224,6 +224,12 @@
         self.attempts.last().is_some_and(|a| a.cold && a.status == Some(Status::Failed))
     }
 
+    /// When it may not be sent again any more, if some time bounds that.
+    fn repeat_ends(&self) -> Option<Timestamp> {
+        let Effect::Keyed { window, .. } = self.class().effect else { return None };
+        self.may_have_run().map(|earlier| earlier.sent + window).min()
+    }
+
     fn may_have_run(&self) -> impl Iterator<Item = &Attempt> {
         self.attempts.iter().filter(|a| !a.status.is_some_and(Status::never_ran))
     }
@@ -767,13 +773,15 @@
         if !kept {
             self.origin.on_send(now);
         }
+        // Its connection may come up long after this.
+        let begin_within = held.repeat_ends().map(|at| at.since(now));
         let skew = u32::from(kept && self.origin.state != State::Closed);
         let class_epoch = server.by_class[class].epoch;
         let epochs = (server.breaker.epoch, class_epoch, self.origin.epoch.wrapping_sub(skew));
         held.attempts.push(Attempt { entry: server.entry.clone(), sent: now, epochs, cold, status: None });
         let timeout = held.request.valid_until.since(now);
         let (id, server) = (held.request.id.clone(), server.entry.id.clone());
-        actions.push(Action::Send { id, server, timeout });
+        actions.push(Action::Send { id, server, timeout, begin_within });
         self.keep(held);
     }
 
--- a/crates/decide/tests/common/mod.rs
+++ b/crates/decide/tests/common/mod.rs
@@ -92,7 +92,7 @@
 
     fn carry_out(&mut self, action: &Action) {
         match action {
-            Action::Send { id, server, timeout } => {
+            Action::Send { id, server, timeout, begin_within } => {
                 let entry = self.list.get(server).expect("a send to a server no list has named").clone();
                 assert_eq!(entry.availability, Availability::Ready, "rule 3: a send to a leaving server");
                 let now = self.now;
@@ -108,6 +108,8 @@
                         Effect::Unsafe => panic!("rule 2: an unsafe request sent again"),
                         Effect::Keyed { scope, window } => {
                             assert!(now < earlier.at + window, "rule 2: sent again after its window");
+                            let begin = now + begin_within.expect("a repeat is told until when it may begin");
+                            assert!(begin <= earlier.at + window, "rule 2: may begin after its window");
                             let near = match scope {
                                 Scope::All => true,
                                 Scope::Zone => earlier.server.zone == entry.zone,
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -5,7 +5,7 @@
 use crate::listing::{Host, Listing};
 use crate::log::log;
 use crate::tally::Tally;
-use crate::upstream::{Ended, Message, Upstream};
+use crate::upstream::{Ended, Leave, Message, Upstream};
 use decide::{
     Action, Availability, Balancer, Event, Outcome, Request, RequestId, ServerEntry, ServerId, ServerList,
     Status, Timestamp,
@@ -314,7 +314,9 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Send { id, server, timeout } => self.send(id, server, timeout),
+            Action::Send { id, server, timeout, begin_within } => {
+                self.send(id, server, timeout, begin_within);
+            }
             Action::Cancel { id, attempt } => {
                 let Some(open) = self.open.get_mut(&id) else { return };
                 let task = open.attempts.get_mut(attempt as usize).and_then(|sent| sent.task.as_ref());
@@ -343,15 +345,16 @@
         }
     }
 
-    fn send(&mut self, id: RequestId, server: ServerId, timeout: Duration) {
+    fn send(&mut self, id: RequestId, server: ServerId, timeout: Duration, begin_within: Option<Duration>) {
         let Some(open) = self.open.get_mut(&id) else { return };
         let (at, attempt) = (Instant::now(), open.attempts.len() as u32);
         let until = open.until.min(at + timeout);
         self.tally.at(self.clock.at(at)).repeats += u32::from(attempt > 0);
         let (upstream, events) = (self.upstream.clone(), self.events.clone());
         let (message, target) = (open.message.clone(), server.clone());
+        let leave = Leave { owed: message.owed.clone(), begin_by: begin_within.map(|within| at + within) };
         let task = tokio::task::spawn_local(async move {
-            let ended = upstream.attempt(&target, &message, until).await;
+            let ended = upstream.attempt(&target, &message, leave, until).await;
             // The driver only goes when the node does.
             let _ = events.send(Input::Ended { id, attempt, ended });
         });
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -114,6 +114,25 @@
     }
 }
 
+/// Whether an attempt may begin.
+#[derive(Clone, Debug)]
+pub struct Leave {
+    pub owed: Owed,
+    /// A repeat past its window would run a second time.
+    pub begin_by: Option<Instant>,
+}
+
+impl Leave {
+    fn holds(&self) -> bool {
+        self.owed.holds() && self.begin_by.is_none_or(|by| Instant::now() < by)
+    }
+
+    /// Whichever comes first, this time or the last moment at which it may begin.
+    fn at_most(&self, until: Instant) -> Instant {
+        self.begin_by.map_or(until, |by| by.min(until))
+    }
+}
+
 /// Whether a request has left this machine's hands whole.
 #[derive(Debug)]
 struct Written {
@@ -122,19 +141,19 @@
     /// The connection was kept before this request.
     reused: Cell<bool>,
     /// Of the request that is to be written, or was written last.
-    owed: RefCell<Owed>,
+    leave: RefCell<Leave>,
 }
 
 impl Written {
-    fn new(owed: Owed) -> Self {
+    fn new(leave: Leave) -> Self {
         let [begun, whole, reused] = [false; 3].map(Cell::new);
-        Self { begun, whole, reused, owed: RefCell::new(owed) }
+        Self { begun, whole, reused, leave: RefCell::new(leave) }
     }
 
-    fn reset(&self, owed: &Owed) {
+    fn reset(&self, leave: &Leave) {
         self.begun.set(false);
         self.whole.set(false);
-        self.owed.replace(owed.clone());
+        self.leave.replace(leave.clone());
     }
 }
 
@@ -148,14 +167,14 @@
 }
 
 impl Watched {
-    /// Before the first byte of a request: its answer must still be owed and the server still take work, whatever was so when
-    /// the request set out. And on a kept connection nothing may stand there to be read. hyper looks as well, but only as far as the runtime has polled,
+    /// Before the first byte of a request: it must still have leave to begin and the server still take work, whatever was so
+    /// when the request set out. And on a kept connection nothing may stand there to be read. hyper looks as well, but only as far as the runtime has polled,
     /// and would take what lies in the socket (a second copy of the last answer, noise) for the answer to this request.
     fn check(&self) -> io::Result<()> {
         if self.written.begun.get() {
             return Ok(());
         }
-        if !self.takes_work.get() || !self.written.owed.borrow().holds() {
+        if !self.takes_work.get() || !self.written.leave.borrow().holds() {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
         if !self.written.reused.get() {
@@ -350,25 +369,28 @@
     }
 
     /// One attempt, until its answer is whole, its connection breaks or `until` comes.
-    pub async fn attempt(&self, server: &ServerId, message: &Message, until: Instant) -> Ended {
+    pub async fn attempt(&self, server: &ServerId, message: &Message, leave: Leave, until: Instant) -> Ended {
         let peer = self.peers.borrow().get(server).cloned();
         let Some(peer) = peer else { return Ended::without_answer(Status::ConnectError) };
         loop {
-            // Nothing new after a drain, nor for a request that is over. Either may also come about while the connection is
+            // Nothing new after a drain, nor for a request that is over or must not be sent again. Each may also come about while the connection is
             // being made: the connection itself looks once more before the first byte.
-            if !message.owed.holds() {
+            if !leave.holds() {
                 return Ended::without_answer(Status::Ignored);
             }
             if !peer.takes_work.get() {
                 return Ended::without_answer(Status::ConnectError);
             }
-            let mut connection = match timeout_at(until, self.connection(&peer, &message.owed)).await {
+            let connecting = timeout_at(leave.at_most(until), self.connection(&peer, &leave));
+            let mut connection = match connecting.await {
                 Ok(Ok(connection)) => connection,
                 // The node's own want says nothing of the server.
                 Ok(Err(error)) if own_fault(&error) => return Ended::without_answer(Status::Ignored),
+                // Nor does the end of a repeat's window.
+                Err(_) if !leave.holds() => return Ended::without_answer(Status::Ignored),
                 _ => return Ended::without_answer(Status::ConnectError),
             };
-            if !message.owed.holds() {
+            if !leave.holds() {
                 // What was made for it serves the next one.
                 peer.keep(connection);
                 return Ended::without_answer(Status::Ignored);
@@ -376,7 +398,7 @@
             let Ok(request) = request(&peer, message, until) else {
                 return Ended::without_answer(Status::ConnectError);
             };
-            connection.written.reset(&message.owed);
+            connection.written.reset(&leave);
             let answer = timeout_at(until, exchange(&mut connection.sender, request)).await;
             let Written { begun, whole, reused, .. } = &*connection.written;
             return match answer {
@@ -387,7 +409,7 @@
                     ended
                 }
                 // It was over before its first byte.
-                _ if !begun.get() && !message.owed.holds() => Ended::without_answer(Status::Ignored),
+                _ if !begun.get() && !leave.holds() => Ended::without_answer(Status::Ignored),
                 // A kept connection that turned out to be spent: not a byte went out, another one serves.
                 Ok(Err(_)) if reused.get() && !begun.get() => continue,
                 Ok(Err(_)) if whole.get() => Ended::without_answer(Status::Reset),
@@ -397,7 +419,7 @@
         }
     }
 
-    async fn connection(&self, peer: &Peer, owed: &Owed) -> io::Result<Connection> {
+    async fn connection(&self, peer: &Peer, leave: &Leave) -> io::Result<Connection> {
         loop {
             let kept = peer.idle.borrow_mut().pop();
             let Some(mut kept) = kept else { break };
@@ -409,7 +431,7 @@
         let connecting = async {
             let stream = TcpStream::connect(peer.dial.get()).await?;
             stream.set_nodelay(true)?;
-            let written = Rc::new(Written::new(owed.clone()));
+            let written = Rc::new(Written::new(leave.clone()));
             let watched = Watched {
                 stream: TokioIo::new(stream),
                 written: written.clone(),
--- a/crates/node/src/upstream/tests.rs
+++ b/crates/node/src/upstream/tests.rs
@@ -7,21 +7,24 @@
 // writes.
 #[tokio::test]
 async fn a_request_that_is_overtaken_before_its_first_byte_writes_none_and_one_that_has_begun_goes_on() {
+    let (past, ahead) = (Some(Instant::now()), Some(Instant::now() + Duration::from_secs(3_600)));
     let cases = [
-        (false, true, true, true),
-        (false, false, true, false),
-        (false, true, false, false),
-        (true, false, true, true),
-        (true, true, false, true),
-        (true, true, true, true),
+        (false, true, true, None, true),
+        (false, true, true, ahead, true),
+        (false, false, true, None, false),
+        (false, true, false, None, false),
+        (false, true, true, past, false),
+        (true, false, true, None, true),
+        (true, true, false, None, true),
+        (true, true, true, past, true),
     ];
-    for (begun, takes_work, owed, writes) in cases {
+    for (begun, takes_work, owed, begin_by, writes) in cases {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let address = listener.local_addr().expect("its address");
         let stream = TcpStream::connect(address).await.expect("a connection");
         let (mut server, _) = listener.accept().await.expect("the other end");
         let waits = Owed::new();
-        let written = Rc::new(Written::new(waits.clone()));
+        let written = Rc::new(Written::new(Leave { owed: waits.clone(), begin_by }));
         written.begun.set(begun);
         if !owed {
             waits.end();
@@ -33,7 +36,11 @@
             takes_work: takes_work.clone(),
         };
         let wrote = std::future::poll_fn(|cx| Pin::new(&mut watched).poll_write(cx, b"GET")).await;
-        assert_eq!(wrote.is_ok(), writes, "begun {begun}, takes work {takes_work:?}, owed {owed}");
+        assert_eq!(
+            wrote.is_ok(),
+            writes,
+            "begun {begun}, takes work {takes_work:?}, owed {owed}, {begin_by:?}"
+        );
         assert_eq!(written.begun.get(), begun || writes);
         drop(watched);
         let mut read = Vec::new();
--- a/crates/node/tests/departures.rs
+++ b/crates/node/tests/departures.rs
@@ -2,64 +2,14 @@
 //! request is just then.
 
 mod common;
+mod unreachable;
 
 use common::*;
-use socket2::{Domain, SockAddr, SockRef, Socket, Type};
+use socket2::SockRef;
 use std::io::Read;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::time::Duration;
-
-/// A cache server to which connections do not come up until it is told: its queue of connections is full, so that the system
-/// drops what asks for a further one, which asks again after a second.
-struct Unreachable {
-    listener: TcpListener,
-    address: SocketAddr,
-    fillers: Vec<Socket>,
-}
-
-impl Unreachable {
-    fn start() -> Self {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        socket.bind(&own_address().into()).unwrap();
-        socket.listen(0).unwrap();
-        let listener = TcpListener::from(socket);
-        let address = listener.local_addr().unwrap();
-        let mut fillers = Vec::new();
-        loop {
-            let filler = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-            let full = filler.connect_timeout(&SockAddr::from(address), Duration::from_millis(300)).is_err();
-            if full {
-                return Self { listener, address, fillers };
-            }
-            fillers.push(filler);
-        }
-    }
-
-    /// How many connections ask for it and have not come up, as the system tells.
-    fn connecting(&self) -> usize {
-        let SocketAddr::V4(address) = self.address else { unreachable!() };
-        let remote = format!("{:08X}:{:04X}", u32::from_ne_bytes(address.ip().octets()), address.port());
-        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-        // The third column is the other end, the fourth the state: 02 is that of a connection being made.
-        let asks = |line: &&str| {
-            let columns: Vec<_> = line.split_whitespace().collect();
-            columns.get(2) == Some(&remote.as_str()) && columns.get(3) == Some(&"02")
-        };
-        table.lines().filter(asks).count()
-    }
-
-    /// Lets all connections come up, and gives the first that is not a test's own. Nothing is taken any more after that.
-    fn admit(self) -> TcpStream {
-        let own: Vec<_> = self.fillers.iter().map(|f| f.local_addr().unwrap().as_socket().unwrap()).collect();
-        loop {
-            let (stream, from) = self.listener.accept().unwrap();
-            if !own.contains(&from) {
-                stream.set_read_timeout(Some(PATIENCE)).unwrap();
-                return stream;
-            }
-        }
-    }
-}
+use unreachable::Unreachable;
 
 fn gone(mut client: Client) {
     client.leave();
--- a/crates/rig/src/simulate/nodes.rs
+++ b/crates/rig/src/simulate/nodes.rs
@@ -93,7 +93,7 @@
     /// Does what a node decided; what follows from it at once is for its decisions.
     pub(super) fn carry_out(&mut self, node: usize, action: Action) -> Option<Event> {
         match action {
-            Action::Send { id, server, timeout } => {
+            Action::Send { id, server, timeout, .. } => {
                 return self.send(node, request_of(&id)?, server, timeout)
             }
             Action::Cancel { id, attempt } => {
--- a/crates/rig/tests/judge.rs
+++ b/crates/rig/tests/judge.rs
@@ -70,7 +70,7 @@
                 let id = self.late.remove(0).1;
                 actions.push(match (self.breaks, self.servers.keys().nth(1)) {
                     (Breaks::RunsAgainLate, Some(server)) => {
-                        Action::Send { id, server: server.clone(), timeout: PATIENT }
+                        Action::Send { id, server: server.clone(), timeout: PATIENT, begin_within: None }
                     }
                     _ => Action::Fail { id },
                 });
@@ -78,8 +78,12 @@
             return self.real.handle(now, event, actions);
         };
         let id = request.id.clone();
-        let to =
-            |server: &ServerId| Action::Send { id: id.clone(), server: server.clone(), timeout: PATIENT };
+        let to = |server: &ServerId| Action::Send {
+            id: id.clone(),
+            server: server.clone(),
+            timeout: PATIENT,
+            begin_within: None,
+        };
         let any = self.servers.keys().next().cloned();
         match self.breaks {
             Breaks::AnswersLate => {
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -209,7 +209,7 @@
 /// Appends an action of instance `who` to a reply.
 pub fn write_action(out: &mut String, who: u32, action: &Action) {
     let written = match action {
-        Action::Send { id, server, timeout } => {
+        Action::Send { id, server, timeout, .. } => {
             // 0 would mean no time-out at all.
             let allow = timeout.as_micros().max(1);
             writeln!(out, "send who={who} request_id={id} server={server} allow_for_us={allow}")
--- a/crates/wirehost/tests/wire.rs
+++ b/crates/wirehost/tests/wire.rs
@@ -136,11 +136,16 @@
     let time = Duration::from_micros(250);
     for (action, line) in [
         (
-            Action::Send { id: id.clone(), server: server.clone(), timeout: time },
+            Action::Send { id: id.clone(), server: server.clone(), timeout: time, begin_within: None },
             "send who=3 request_id=c:x server=s:1 allow_for_us=250\n",
         ),
         (
-            Action::Send { id: id.clone(), server: server.clone(), timeout: Duration::ZERO },
+            Action::Send {
+                id: id.clone(),
+                server: server.clone(),
+                timeout: Duration::ZERO,
+                begin_within: None,
+            },
             "send who=3 request_id=c:x server=s:1 allow_for_us=1\n",
         ),
         (Action::Cancel { id: id.clone(), attempt: 1 }, "abort_attempt who=3 request_id=c:x hop=1\n"),
