Name settings that are of no use, with what was expected, and take none of them

Need: settings that are missing, of the wrong type or out of range end the start with an error that names the field and what was expected. Before, a wrong type was "malformed line, unreadable lanes.0.promise_us: settings"; a number out of range, an unknown effect or scope and a time that overflows a clock were passed over, and a node without a class started and served nobody. Change: decide/platform.rs reads settings by typed errors (setting, expectation, what stands there); what is not told keeps its default. The wire's lines are read as before. Result: tests/lifecycle.rs, twelve cases at the start and one at SIGHUP, which changes nothing.

--- a/crates/decide/src/platform.rs
+++ b/crates/decide/src/platform.rs
@@ -1,22 +1,47 @@
 //! Settings and load reports as the platform words them, on the simulator's wire and in a node's configuration.
 
 use crate::api::*;
+use std::fmt::Display;
 use std::str::FromStr;
 use std::time::Duration;
 use thiserror::Error;
 
 /// Text of the platform's that can't be read.
 #[derive(Debug, Error)]
-#[error("{0}")]
-pub struct PlatformError(String);
+pub enum PlatformError {
+    /// A line of the wire.
+    #[error("{0}")]
+    Line(String),
+    /// A setting that is there and of no use.
+    #[error("{name}: expected {expected}, found {found:?}")]
+    Setting {
+        /// Its path.
+        name: String,
+        /// What it may be.
+        expected: String,
+        /// What stands there, or the beginning of it.
+        found: String,
+    },
+    /// A setting that must be there.
+    #[error("{name}: expected {expected}, found nothing")]
+    Missing {
+        /// Its path.
+        name: String,
+        /// What it may be.
+        expected: &'static str,
+    },
+}
 
 impl PlatformError {
-    /// With this text.
+    /// Of a line, with this text.
     pub fn new(text: impl Into<String>) -> Self {
-        Self(text.into())
+        Self::Line(text.into())
     }
 }
 
+/// No time in settings is longer: it is safe to add to a clock.
+const LONGEST: Duration = Duration::from_secs(366 * 24 * 3_600);
+
 /// The pairs of name and value in a line, or in nested settings.
 #[derive(Debug)]
 pub struct Fields<'a> {
@@ -33,7 +58,7 @@
     /// An error that shows the line.
     pub fn bad(&self, what: &str) -> PlatformError {
         let shown: String = self.line.chars().take(200).collect();
-        PlatformError(format!("malformed line, {what}: {shown}"))
+        PlatformError::Line(format!("malformed line, {what}: {shown}"))
     }
 
     /// The value of this name.
@@ -71,6 +96,59 @@
             Some(_) => Err(self.bad(&format!("unreadable {name}"))),
         }
     }
+
+    /// The setting of this name, if it is there and `read` can use it.
+    fn setting<T>(
+        &self,
+        name: &str,
+        expected: &str,
+        read: impl Fn(&str) -> Option<T>,
+    ) -> Result<Option<T>, PlatformError> {
+        let unusable = |text: &str| PlatformError::Setting {
+            name: name.to_owned(),
+            expected: expected.to_owned(),
+            found: text.chars().take(60).collect(),
+        };
+        self.text(name).map(|text| read(text).ok_or_else(|| unusable(text))).transpose()
+    }
+
+    fn count<T>(&self, name: &str, least: T) -> Result<Option<T>, PlatformError>
+    where
+        T: FromStr + PartialOrd + Display + Copy,
+    {
+        let read = |text: &str| text.parse::<T>().ok().filter(|count| *count >= least);
+        self.setting(name, &format!("a whole number from {least} up"), read)
+    }
+
+    fn bounded(&self, name: &str, most: f64) -> Result<Option<f64>, PlatformError> {
+        let expected =
+            if most < f64::MAX { format!("a number from 0 to {most}") } else { "a number from 0 up".into() };
+        self.setting(name, &expected, |text| text.parse().ok().filter(|value| (0.0..=most).contains(value)))
+    }
+
+    fn time(&self, name: &str) -> Result<Option<Duration>, PlatformError> {
+        let read = |text: &str| text.parse().ok().map(Duration::from_micros).filter(|time| *time <= LONGEST);
+        self.setting(name, "a whole number of microseconds, a year at the most", read)
+    }
+
+    fn switch(&self, name: &str) -> Result<Option<bool>, PlatformError> {
+        self.setting(name, "true or false", |text| match text {
+            "1" | "true" => Some(true),
+            "0" | "false" => Some(false),
+            _ => None,
+        })
+    }
+
+    /// The place among these words of the one that stands there.
+    fn word(&self, name: &str, words: &[&str]) -> Result<Option<usize>, PlatformError> {
+        let expected = format!("one of {}", words.join(", "));
+        self.setting(name, &expected, |text| words.iter().position(|word| *word == text))
+    }
+
+    fn name(&self, name: &str) -> Result<Name, PlatformError> {
+        let missing = || PlatformError::Missing { name: name.to_owned(), expected: "a name" };
+        self.text(name).filter(|text| !text.is_empty()).map(Name::from).ok_or_else(missing)
+    }
 }
 
 /// Reads a load report, its values set apart by commas and each from its name by `separator`. A value goes
@@ -101,46 +179,43 @@
 pub fn settings(fields: &Fields) -> Result<Settings, PlatformError> {
     let base = Settings::default();
     let mut classes = Vec::new();
-    for i in 0..fields.optional::<usize>("lanes.count")?.unwrap_or(0) {
+    for i in 0..fields.count("lanes.count", 0)?.unwrap_or(0) {
         let at = |name: &str| format!("lanes.{i}.{name}");
         let other = Class::default();
-        let window = fields.micros(&at("repeat_window_us"))?.unwrap_or_default();
-        let scope = match fields.text(&at("dedup_scope")) {
-            Some("all") => Scope::All,
-            Some("zone") => Scope::Zone,
-            _ => Scope::Cell,
-        };
+        let window = fields.time(&at("repeat_window_us"))?.unwrap_or_default();
+        // Of what is not told the most careful.
+        let scopes = [Scope::All, Scope::Zone, Scope::Cell];
+        let scope =
+            fields.word(&at("dedup_scope"), &["all", "zone", "cell"])?.map_or(Scope::Cell, |i| scopes[i]);
+        let effects = [Effect::Safe, Effect::Keyed { scope, window }, Effect::Unsafe];
+        let effect = fields.word(&at("effect"), &["safe", "keyed", "unsafe"])?;
         classes.push(Class {
-            name: fields.need::<String>(&at("name"))?.as_str().into(),
-            effect: match fields.text(&at("effect")) {
-                Some("safe") => Effect::Safe,
-                Some("keyed") => Effect::Keyed { scope, window },
-                _ => Effect::Unsafe,
-            },
-            aim: fields.micros(&at("promise_us"))?.unwrap_or(other.aim),
-            deadline: fields.micros(&at("hard_limit_us"))?.unwrap_or(other.deadline),
-            worth: fields.number(&at("worth"), f64::MAX)?.unwrap_or(other.worth),
-            late_worth: fields.number(&at("late_value"), 1.0)?.unwrap_or(other.late_worth),
+            name: fields.name(&at("name"))?,
+            effect: effect.map_or(Effect::Unsafe, |i| effects[i]),
+            aim: fields.time(&at("promise_us"))?.unwrap_or(other.aim),
+            deadline: fields.time(&at("hard_limit_us"))?.unwrap_or(other.deadline),
+            worth: fields.bounded(&at("worth"), f64::MAX)?.unwrap_or(other.worth),
+            late_worth: fields.bounded(&at("late_value"), 1.0)?.unwrap_or(other.late_worth),
         });
     }
     let mut tenants = Vec::new();
-    for i in 0..fields.optional::<usize>("orgs.count")?.unwrap_or(0) {
+    for i in 0..fields.count("orgs.count", 0)?.unwrap_or(0) {
         tenants.push(Tenant {
-            name: fields.need::<String>(&format!("orgs.{i}.name"))?.as_str().into(),
-            quota_per_s: fields.number(&format!("orgs.{i}.quota_per_s"), f64::MAX)?.unwrap_or(f64::INFINITY),
+            name: fields.name(&format!("orgs.{i}.name"))?,
+            quota_per_s: fields.bounded(&format!("orgs.{i}.quota_per_s"), f64::MAX)?.unwrap_or(f64::INFINITY),
         });
     }
-    let origin = fields.optional::<i64>("family_info.origin_kind")?.unwrap_or(-1);
+    let origin = fields.count::<i64>("family_info.origin_kind", -1)?.unwrap_or(-1);
     let kinds = fields.text("shapes").unwrap_or("");
     let origin_kind = usize::try_from(origin).ok().and_then(|kind| kinds.split(',').nth(kind));
-    let retry_after = fields.flag("limits.retry_after")?.unwrap_or(false);
-    let or = |name: &str, other: Duration| Ok::<_, PlatformError>(fields.micros(name)?.unwrap_or(other));
+    let retry_after = fields.switch("limits.retry_after")?.unwrap_or(false);
+    let or = |name: &str, other: Duration| Ok::<_, PlatformError>(fields.time(name)?.unwrap_or(other));
     Ok(Settings {
         zone: fields.text("az").map(Name::from),
-        nodes: fields.optional("balancers")?.unwrap_or(base.nodes),
+        nodes: fields.count("balancers", 1)?.unwrap_or(base.nodes),
         classes,
         tenants,
-        over_share_worth: fields.number("over_share_worth", 1.0)?.unwrap_or(base.over_share_worth),
+        over_share_worth: fields.bounded("over_share_worth", 1.0)?.unwrap_or(base.over_share_worth),
         mode: match (fields.text("family_info.mode"), origin_kind) {
             (Some("aside"), Some(kind)) => CacheMode::Aside { origin_kind: kind.into() },
             _ => CacheMode::Through,
@@ -148,17 +223,17 @@
         sized: matches!(fields.text("weights"), None | Some("nominal")),
         must_follow: fields.text("membership_mode") == Some("subscribe"),
         starts_told: base.starts_told,
-        max_attempts: fields.optional("limits.most_tries")?.unwrap_or(base.max_attempts),
-        second_copies: fields.flag("limits.second_copies")?.unwrap_or(base.second_copies),
-        cancelling: fields.flag("limits.cancelling")?.unwrap_or(base.cancelling),
-        probing: fields.flag("limits.probing")?.unwrap_or(base.probing),
+        max_attempts: fields.count("limits.most_tries", 1)?.unwrap_or(base.max_attempts),
+        second_copies: fields.switch("limits.second_copies")?.unwrap_or(base.second_copies),
+        cancelling: fields.switch("limits.cancelling")?.unwrap_or(base.cancelling),
+        probing: fields.switch("limits.probing")?.unwrap_or(base.probing),
         max_retry_after: or("limits.max_retry_after_us", base.max_retry_after)?
             .saturating_mul(retry_after.into()),
         connect_timeout: or("limits.connect_timeout_us", base.connect_timeout)?,
         keepalive: or("limits.keepalive_us", base.keepalive)?,
-        cold_share: fields.number("safety.cold_share", 1.0)?.unwrap_or(base.cold_share),
+        cold_share: fields.bounded("safety.cold_share", 1.0)?.unwrap_or(base.cold_share),
         warm_within: or("safety.warm_within_us", base.warm_within)?,
-        fall_multiple: fields.number("safety.fall_multiple", f64::MAX)?.unwrap_or(base.fall_multiple),
+        fall_multiple: fields.bounded("safety.fall_multiple", f64::MAX)?.unwrap_or(base.fall_multiple),
         fall_span: or("safety.fall_us", base.fall_span)?,
         ask_within: or("safety.ask_within_us", base.ask_within)?,
         drain_grace: or("safety.stop_sending_within_us", base.drain_grace)?,
--- a/crates/node/src/config/platform.rs
+++ b/crates/node/src/config/platform.rs
@@ -17,8 +17,10 @@
     Unreadable(PathBuf, std::io::Error),
     #[error("{0} is not a configuration: {1}")]
     Malformed(PathBuf, serde_json::Error),
-    #[error("the configuration's settings: {0}")]
+    #[error("settings.{0}")]
     Settings(#[from] PlatformError),
+    #[error("settings.lanes: expected a list of one class or more, found none")]
+    NoClass,
     #[error("{0} is not an address and port: {1}")]
     Address(&'static str, String),
     #[error("the configuration's seed is not a hexadecimal number: {0}")]
@@ -64,11 +66,15 @@
     }
     let mut pairs = Vec::new();
     flatten(String::new(), &file.settings, &mut pairs);
+    let settings = read_settings(&pairs)?;
+    if settings.classes.is_empty() {
+        return Err(ConfigError::NoClass);
+    }
     let pool = Pool {
         name: "pool".into(),
         source: Source::Discovery(address(DISCOVERY, file.discovery)?),
         known: file.known,
-        settings: read_settings(&pairs)?,
+        settings,
     };
     Ok(Config {
         name: variable("LB_NAME").unwrap_or(file.name),
--- a/crates/node/tests/lifecycle.rs
+++ b/crates/node/tests/lifecycle.rs
@@ -84,6 +84,50 @@
     }
 }
 
+// Guards against a node that starts on settings it has to guess at, and against an error that leaves its reader to guess.
+#[test]
+fn a_setting_of_no_use_ends_the_start_with_its_name_and_what_was_expected() {
+    let good = config("127.0.0.1:1".parse().unwrap());
+    let cases = [
+        ("lanes/0/promise_us", json!("soon"), "settings.lanes.0.promise_us: expected a whole number of microseconds, a year at the most, found \"soon\""),
+        ("lanes/1/hard_limit_us", json!(-1), "settings.lanes.1.hard_limit_us: expected a whole number of microseconds, a year at the most, found \"-1\""),
+        ("lanes/1/hard_limit_us", json!(u64::MAX), "settings.lanes.1.hard_limit_us: expected a whole number of microseconds, a year at the most, found \"18446744073709551615\""),
+        ("lanes/1/effect", json!("harmless"), "settings.lanes.1.effect: expected one of safe, keyed, unsafe, found \"harmless\""),
+        ("lanes/2/dedup_scope", json!(7), "settings.lanes.2.dedup_scope: expected one of all, zone, cell, found \"7\""),
+        ("lanes/0/name", json!(""), "settings.lanes.0.name: expected a name, found nothing"),
+        ("lanes/0/late_value", json!(1.5), "settings.lanes.0.late_value: expected a number from 0 to 1, found \"1.5\""),
+        ("lanes/0/worth", json!(-3), "settings.lanes.0.worth: expected a number from 0 up, found \"-3\""),
+        ("lanes", json!([]), "settings.lanes: expected a list of one class or more, found none"),
+        ("balancers", json!(0), "settings.balancers: expected a whole number from 1 up, found \"0\""),
+        ("limits/most_tries", json!("many"), "settings.limits.most_tries: expected a whole number from 1 up, found \"many\""),
+        ("limits/second_copies", json!("perhaps"), "settings.limits.second_copies: expected true or false, found \"perhaps\""),
+    ];
+    for (path, value, words) in cases {
+        let mut broken = good.clone();
+        *broken["settings"].pointer_mut(&format!("/{path}")).unwrap_or(&mut json!(null)) = value.clone();
+        // Some stand in no configuration of these tests.
+        if broken["settings"].pointer(&format!("/{path}")).is_none() {
+            let (parent, name) = path.rsplit_once('/').unwrap();
+            broken["settings"].pointer_mut(&format!("/{parent}")).unwrap()[name] = value;
+        }
+        let mut command = command();
+        command.env("LB_CONFIG", write_config(&broken.to_string()));
+        let ended = ended(command);
+        let error = String::from_utf8(ended.stderr).unwrap();
+        assert!(!ended.status.success(), "{path}");
+        assert_eq!(error, format!("pinhead: {words}\n"));
+    }
+    // At SIGHUP it is named as well, and changes nothing.
+    let server = CacheServer::serving("value");
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let good = config(discovery.address);
+    let node = Node::ready(&good);
+    node.reconfigure(&good.to_string().replace("\"effect\":\"keyed\"", "\"effect\":\"harmless\""));
+    let words = "configuration not taken: settings.lanes.2.effect: expected one of safe, keyed, unsafe";
+    assert_eq!(node.said(words), 1);
+    assert_eq!(node.read("read", 1).status(), 200);
+}
+
 // Guards against a node that SIGHUP ends, that stays with its old discovery, and that asks the new one for what
 // came after a version of the old one's.
 #[test]
