Keep the simulator's wire as it was: what is out of range there is passed over

That test is right: one adapter hosts many instances, and a setting of no use must not end them all. Change: a node's configuration is read strictly, the wire as before; what is no number at all is an error on both.

--- a/crates/decide/src/platform.rs
+++ b/crates/decide/src/platform.rs
@@ -47,12 +47,15 @@
 pub struct Fields<'a> {
     line: &'a str,
     pairs: Vec<(&'a str, &'a str)>,
+    /// What lies outside its range, and a word that is not known, is an error. On the wire the default stands in for it: an
+    /// adapter that ends takes all instances with it.
+    strict: bool,
 }
 
 impl<'a> Fields<'a> {
     /// Of `rest`, the part of `line` that holds them.
     pub fn new(line: &'a str, rest: &'a str) -> Self {
-        Self { line, pairs: rest.split(' ').filter_map(|part| part.split_once('=')).collect() }
+        Self { line, pairs: rest.split(' ').filter_map(|part| part.split_once('=')).collect(), strict: false }
     }
 
     /// An error that shows the line.
@@ -97,44 +100,50 @@
         }
     }
 
-    /// The setting of this name, if it is there and `read` can use it.
+    /// The setting of this name, if it is there and `read` can use it: `None` for what is of the wrong type, and for what is
+    /// not and still of no use `Some(None)`.
     fn setting<T>(
         &self,
         name: &str,
         expected: &str,
-        read: impl Fn(&str) -> Option<T>,
+        read: impl Fn(&str) -> Option<Option<T>>,
     ) -> Result<Option<T>, PlatformError> {
-        let unusable = |text: &str| PlatformError::Setting {
-            name: name.to_owned(),
-            expected: expected.to_owned(),
-            found: text.chars().take(60).collect(),
-        };
-        self.text(name).map(|text| read(text).ok_or_else(|| unusable(text))).transpose()
+        let Some(text) = self.text(name) else { return Ok(None) };
+        match read(text) {
+            Some(None) if !self.strict => Ok(None),
+            Some(Some(value)) => Ok(Some(value)),
+            Some(None) | None => Err(PlatformError::Setting {
+                name: name.to_owned(),
+                expected: expected.to_owned(),
+                found: text.chars().take(60).collect(),
+            }),
+        }
     }
 
     fn count<T>(&self, name: &str, least: T) -> Result<Option<T>, PlatformError>
     where
         T: FromStr + PartialOrd + Display + Copy,
     {
-        let read = |text: &str| text.parse::<T>().ok().filter(|count| *count >= least);
+        let read = |text: &str| Some(Some(text.parse::<T>().ok()?).filter(|count| *count >= least));
         self.setting(name, &format!("a whole number from {least} up"), read)
     }
 
     fn bounded(&self, name: &str, most: f64) -> Result<Option<f64>, PlatformError> {
-        let expected =
-            if most < f64::MAX { format!("a number from 0 to {most}") } else { "a number from 0 up".into() };
-        self.setting(name, &expected, |text| text.parse().ok().filter(|value| (0.0..=most).contains(value)))
+        let upper = if most < f64::MAX { format!("to {most}") } else { "up".into() };
+        let read = |text: &str| Some(Some(text.parse().ok()?).filter(|value| (0.0..=most).contains(value)));
+        self.setting(name, &format!("a number from 0 {upper}"), read)
     }
 
     fn time(&self, name: &str) -> Result<Option<Duration>, PlatformError> {
-        let read = |text: &str| text.parse().ok().map(Duration::from_micros).filter(|time| *time <= LONGEST);
+        let within = |time: &Duration| !self.strict || *time <= LONGEST;
+        let read = |text: &str| Some(Some(Duration::from_micros(text.parse().ok()?)).filter(within));
         self.setting(name, "a whole number of microseconds, a year at the most", read)
     }
 
     fn switch(&self, name: &str) -> Result<Option<bool>, PlatformError> {
         self.setting(name, "true or false", |text| match text {
-            "1" | "true" => Some(true),
-            "0" | "false" => Some(false),
+            "1" | "true" => Some(Some(true)),
+            "0" | "false" => Some(Some(false)),
             _ => None,
         })
     }
@@ -142,7 +151,7 @@
     /// The place among these words of the one that stands there.
     fn word(&self, name: &str, words: &[&str]) -> Result<Option<usize>, PlatformError> {
         let expected = format!("one of {}", words.join(", "));
-        self.setting(name, &expected, |text| words.iter().position(|word| *word == text))
+        self.setting(name, &expected, |text| Some(words.iter().position(|word| *word == text)))
     }
 
     fn name(&self, name: &str) -> Result<Name, PlatformError> {
@@ -172,7 +181,7 @@
 /// Reads start-up settings from their pairs of path and value.
 pub fn read_settings(pairs: &[(String, String)]) -> Result<Settings, PlatformError> {
     let pairs = pairs.iter().map(|(path, value)| (path.as_str(), value.as_str())).collect();
-    settings(&Fields { line: "settings", pairs })
+    settings(&Fields { line: "settings", pairs, strict: true })
 }
 
 /// The same from a line that holds them.
