Test the end of the node on sockets: half requests, signals in a row, slow readers

Change: tests/shutdown.rs, no code. Ruled out by the others: SIGTERM twice and around SIGHUP, SIGTERM before the first list, half a request that never comes whole, a request written after the close (not sent on), an answer of 60 KiB that the system still holds, a drain and a departure while a connection is made at the end.

--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -476,7 +476,7 @@
 }
 
 /// A client's connection.
-pub struct Client(BufReader<TcpStream>);
+pub struct Client(pub BufReader<TcpStream>);
 
 impl From<TcpStream> for Client {
     fn from(stream: TcpStream) -> Self {
--- /dev/null
+++ b/crates/node/tests/shutdown.rs
@@ -0,0 +1,160 @@
+//! The node's end, with requests and signals that come between its steps. Every request that was taken gets its one answer, and
+//! nothing is sent on that comes after.
+
+mod common;
+mod unreachable;
+
+use common::*;
+use serde_json::json;
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+
+const CLOSING: &str = "no further clients are accepted";
+
+/// A request in two parts, cut so many bytes before its end.
+fn halves(key: u64, before_the_end: usize) -> (String, String) {
+    let whole = read("read", key, 60_000);
+    let (first, second) = whole.split_at(whole.len() - before_the_end);
+    (first.to_owned(), second.to_owned())
+}
+
+// Guards against a request that is dropped because its first half had been read when the node closed.
+#[test]
+fn a_request_that_is_half_read_when_the_node_closes_is_answered() {
+    let server = CacheServer::serving("value");
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let node = Node::ready(&config(discovery.address));
+    let (mut used, mut fresh) = (node.client(), node.client());
+    assert_eq!(used.ask(&read("read", 1, 20_000)).status(), 200);
+    let parts = [halves(2, 30), halves(3, 2)];
+    used.send(&parts[0].0);
+    fresh.send(&parts[1].0);
+    node.terminate();
+    wait_for("the end of accepting", || node.said(CLOSING) == 1);
+    used.send(&parts[0].1);
+    fresh.send(&parts[1].1);
+    for client in [&mut used, &mut fresh] {
+        let answer = client.answer().expect("the answer to what was taken");
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+        assert_eq!(client.answer(), None);
+    }
+    assert!(node.exit().success());
+    assert_eq!(server.count(), 3);
+}
+
+// Guards against a node that is held up by half a request that never comes whole.
+#[test]
+fn half_a_request_does_not_keep_the_node_from_its_end() {
+    let server = CacheServer::serving("value");
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let node = Node::ready(&config(discovery.address));
+    let mut half = node.client();
+    half.send(&halves(1, 30).0);
+    node.terminate();
+    assert!(node.exit().success());
+    assert_eq!(server.count(), 0);
+}
+
+// Guards against a request that is read and sent on after the node has closed its side: its client has asked elsewhere by now.
+#[test]
+fn what_comes_after_the_close_is_not_sent_on() {
+    let (server, gate) = CacheServer::gated("value");
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let node = Node::ready(&config(discovery.address));
+    // Keeps the node alive meanwhile.
+    let mut waiting = node.client();
+    waiting.send(&read("read", 1, 60_000));
+    wait_for("the attempt", || server.count() == 1);
+    let mut resting = node.client();
+    assert_eq!(resting.ask("GET /healthz HTTP/1.1\r\nHost: s\r\n\r\n").status(), 200);
+    node.terminate();
+    assert_eq!(resting.answer(), None);
+    // It may be reset by now.
+    let _ = resting.0.get_mut().write_all(read("read", 2, 60_000).as_bytes());
+    gate.open();
+    assert_eq!(waiting.answer().expect("its answer").status(), 200);
+    assert!(node.exit().success());
+    assert_eq!(server.count(), 1);
+}
+
+// Guards against a second signal that ends the node with requests in its hands, and one that comes during a reload.
+#[test]
+fn a_node_that_is_told_to_end_twice_and_to_reload_between_finishes_what_it_took() {
+    let (server, gate) = CacheServer::gated("value");
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let good = config(discovery.address);
+    let node = Node::ready(&good);
+    let mut waiting = node.client();
+    waiting.send(&read("read", 1, 60_000));
+    wait_for("the attempt", || server.count() == 1);
+    for signal in ["-HUP", "-TERM", "-HUP", "-TERM"] {
+        node.signal(signal);
+    }
+    wait_for("the end of accepting", || node.said(CLOSING) == 1);
+    node.signal("-TERM");
+    gate.open();
+    let answer = waiting.answer().expect("the answer to what was taken");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(node.exit().success());
+    assert_eq!(server.count(), 1);
+}
+
+// Guards against a node that cannot be told to end before it has a list, and while discovery does not answer.
+#[test]
+fn a_node_that_knows_no_server_yet_ends_well() {
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let node = Node::start(&config(silent.local_addr().unwrap()));
+    let (_call, _) = silent.accept().unwrap();
+    assert_eq!(node.get("/healthz").status(), 503);
+    node.terminate();
+    assert!(node.exit().success());
+}
+
+// Guards against an answer that goes down with the process: the system still holds most of it when the node has written it.
+#[test]
+fn a_long_answer_that_its_client_reads_slowly_arrives_whole_though_the_node_ends() {
+    let body = "v".repeat(60 << 10);
+    let text = answer("200 OK", "", &body);
+    let server = CacheServer::start(move |_| Does::Answer(text.clone()));
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let node = Node::ready(&config(discovery.address));
+    // As little of it as can be on its way.
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(1).unwrap();
+    socket.connect(&node.address.into()).unwrap();
+    let mut client = Client::from(TcpStream::from(socket));
+    client.send(&read("read", 1, 60_000));
+    wait_for("the attempt", || server.count() == 1);
+    node.terminate();
+    wait_for("the end of accepting", || node.said(CLOSING) == 1);
+    let answer = client.answer().expect("the answer to what was taken");
+    assert_eq!((answer.status(), answer.body.len()), (200, body.len()));
+    assert!(node.exit().success());
+}
+
+// Guards against a node at its end that goes on with an attempt whose server drains just then, or whose client leaves.
+#[test]
+fn a_node_that_ends_heeds_drains_and_departures_as_ever() {
+    let late = unreachable::Unreachable::start();
+    let other = CacheServer::serving("value");
+    let discovery = Discovery::start(&[host("s-1", late.address, "ready")]);
+    let mut config = config(discovery.address);
+    config["settings"]["limits"]["connect_timeout_us"] = json!(20_000_000);
+    let node = Node::ready(&config);
+    let (mut drained, mut left) = (node.client(), node.client());
+    drained.send(&read("read", 1, 60_000));
+    wait_for("the first connection", || late.connecting() == 1);
+    left.send(&read("read", 2, 60_000));
+    wait_for("the second connection", || late.connecting() == 2);
+    node.terminate();
+    wait_for("the end of accepting", || node.said(CLOSING) == 1);
+    left.leave();
+    assert_eq!(left.answer(), None);
+    discovery.tell(false, &[host("s-1", late.address, "draining"), other.entry("s-2", "ready")]);
+    discovery.wait_until_told(2);
+    late.serve("never asked");
+    let answer = drained.answer().expect("the answer to what was taken");
+    assert_eq!((answer.status(), &answer.body[..]), (200, &b"value"[..]));
+    assert!(node.exit().success());
+    assert_eq!(other.count(), 1);
+}
