Test answers, resting connections and the machine's queue at odd moments

Change: tests/answers.rs (answers with no length, ended and reset; half lines; half a line, a second answer, noise, a close or a reset on a resting connection), one more case of the look before the first byte, the queue at the node's end in fronts/http1/tests.rs. On sockets hyper itself sees what stands on a resting connection, so answers.rs passes without that look too.

--- a/crates/node/src/fronts/http1.rs
+++ b/crates/node/src/fronts/http1.rs
@@ -445,3 +445,6 @@
     *response.status_mut() = status;
     response
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/node/src/fronts/http1/tests.rs
@@ -0,0 +1,38 @@
+use super::*;
+use std::io::{Read, Write};
+
+fn front() -> Rc<Front> {
+    let routes = Routes { classes: Vec::new(), tenants: Vec::new() };
+    Rc::new(Front::new(routes, Rc::new(Readiness::new(Vec::new())), 256, 116))
+}
+
+// Guards against a connection that the machine has accepted for the node and that is reset with its listener: it came since the
+// runtime last polled.
+#[tokio::test]
+async fn what_waits_in_the_machines_queue_when_the_node_closes_is_answered() {
+    let all = async {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a listener");
+        listener.set_nonblocking(true).expect("a socket for the runtime");
+        let address = listener.local_addr().expect("its address");
+        let listener = Rc::new(TcpListener::from_std(listener).expect("a socket of the runtime"));
+        let (front, (_stage, closing)) = (front(), watch::channel(Stage::Closing));
+        let mut clients: Vec<_> =
+            (0..3).map(|_| std::net::TcpStream::connect(address).expect("a client")).collect();
+        for client in &mut clients {
+            client.write_all(b"GET /nowhere HTTP/1.1\r\nHost: s\r\n\r\n").expect("a socket that takes it");
+        }
+        // Nothing is awaited until here: the runtime has not polled since they came.
+        serve(listener, closing, front.clone()).await;
+        let read = tokio::task::spawn_blocking(move || {
+            let mut read = String::new();
+            for client in &mut clients {
+                client.set_read_timeout(Some(Duration::from_secs(20))).expect("a time limit");
+                client.read_to_string(&mut read).expect("an answer, and no reset");
+            }
+            read
+        });
+        assert_eq!(read.await.expect("a reader").matches("HTTP/1.1 404").count(), 3);
+        front.table.drained().await;
+    };
+    tokio::task::LocalSet::new().run_until(all).await;
+}
--- a/crates/node/src/upstream/tests.rs
+++ b/crates/node/src/upstream/tests.rs
@@ -48,3 +48,24 @@
         assert_eq!(read.len(), if writes { 3 } else { 0 });
     }
 }
+
+// What lies in the socket of a kept connection may not have reached hyper yet: the runtime polls for it between two turns.
+#[tokio::test]
+async fn a_kept_connection_on_which_something_stands_unread_carries_no_request() {
+    for (kept, stands, writes) in [(true, true, false), (true, false, true), (false, true, true)] {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let stream =
+            TcpStream::connect(listener.local_addr().expect("its address")).await.expect("a connection");
+        let (mut server, _) = listener.accept().expect("the other end");
+        let written = Rc::new(Written::new(Leave { owed: Owed::new(), begin_by: None }));
+        written.reused.set(kept);
+        let stream = TokioIo::new(stream);
+        let mut watched = Watched { stream, written, takes_work: Rc::new(Cell::new(true)) };
+        if stands {
+            io::Write::write_all(&mut server, b"HTTP/1.1 2").expect("a socket that takes it");
+        }
+        // Nothing is awaited in between: the runtime knows of nothing.
+        let wrote = std::future::poll_fn(|cx| Pin::new(&mut watched).poll_write(cx, b"GET")).await;
+        assert_eq!(wrote.is_ok(), writes, "kept {kept}, stands {stands}");
+    }
+}
--- /dev/null
+++ b/crates/node/tests/answers.rs
@@ -0,0 +1,146 @@
+//! What comes of a cache server's answers and kept connections at odd moments.
+
+mod common;
+
+use common::*;
+use socket2::SockRef;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+/// A server that hands each request, with its number, and the connection it came on to `does`; whether that goes on is its
+/// answer. With what it was asked, and a gate that opens once it has ended a connection.
+fn scripted(
+    does: impl Fn(usize, &mut TcpStream) -> bool + Send + Sync + 'static,
+) -> (SocketAddr, Arc<Mutex<Vec<String>>>, Gate) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (asked, does) = (Arc::<Mutex<Vec<String>>>::default(), Arc::new(does));
+    let (all, ended) = (asked.clone(), Gate::default());
+    let first_end = ended.clone();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let (asked, does, ended) = (asked.clone(), does.clone(), ended.clone());
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                while let Ok(Some(message)) = Message::read(&mut reader) {
+                    let number = {
+                        let mut asked = asked.lock().unwrap();
+                        asked.push(message.header("req-id").unwrap().to_owned());
+                        asked.len()
+                    };
+                    if !does(number, &mut stream) {
+                        drop((reader, stream));
+                        return ended.open();
+                    }
+                }
+            });
+        }
+    });
+    (address, all, first_end)
+}
+
+fn write(stream: &mut TcpStream, text: &str) -> bool {
+    stream.write_all(text.as_bytes()).is_ok()
+}
+
+fn close_after(stream: &mut TcpStream, text: &str) -> bool {
+    write(stream, text);
+    false
+}
+
+fn reset(stream: &TcpStream) -> bool {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO)).unwrap();
+    false
+}
+
+/// The status, the body and how many attempts a request of this class comes to at two servers that do the same.
+fn comes_to(class: &str, does: fn(usize, &mut TcpStream) -> bool) -> (u16, String, usize) {
+    let servers = [scripted(does), scripted(does)];
+    let [one, two] = servers.each_ref().map(|(address, ..)| *address);
+    let discovery = Discovery::start(&[host("s-1", one, "ready"), host("s-2", two, "ready")]);
+    let node = Node::ready(&config(discovery.address));
+    let answer = node.read(class, 1);
+    let attempts = servers.iter().map(|(_, asked, _)| asked.lock().unwrap().len()).sum();
+    (answer.status(), String::from_utf8(answer.body).unwrap(), attempts)
+}
+
+// Guards against half an answer that is taken for a whole one: with no length only an end is an end, and a reset is none.
+#[test]
+fn an_answer_without_a_length_ends_with_its_connection_and_not_with_a_reset() {
+    let whole = |_: usize, stream: &mut TcpStream| {
+        write(stream, "HTTP/1.1 200 OK\r\n\r\nvalue");
+        false
+    };
+    assert_eq!(comes_to("read", whole), (200, "value".into(), 1));
+    let broken = |_: usize, stream: &mut TcpStream| {
+        write(stream, "HTTP/1.1 200 OK\r\n\r\nval");
+        reset(stream)
+    };
+    let (status, body, attempts) = comes_to("read", broken);
+    assert_eq!((status == 200, body.contains("val"), attempts), (false, false, 2));
+    // It has run.
+    let (status, body, attempts) = comes_to("once", broken);
+    assert_eq!((status, body.contains("val"), attempts), (502, false, 1));
+}
+
+// Guards against an attempt that ends with its request's time because its answer never does, and against half a line.
+#[test]
+fn an_answer_that_breaks_off_in_its_first_line_is_an_attempt_that_may_have_run() {
+    let halves: [fn(usize, &mut TcpStream) -> bool; 3] = [
+        |_, stream| close_after(stream, "H"),
+        |_, stream| close_after(stream, "HTTP/1.1 2"),
+        |_, stream| write(stream, "HTTP/1.1 200 OK\r\nContent-Le") && reset(stream),
+    ];
+    for half in halves {
+        let (status, _, attempts) = comes_to("once", half);
+        assert_eq!((status, attempts), (502, 1));
+    }
+}
+
+// Guards against what a server writes to a connection that rests: half a line, a second answer, noise, then perhaps a close.
+// The next request must neither be answered by it nor be lost to it.
+#[test]
+fn what_comes_on_a_resting_connection_ends_that_and_costs_no_request() {
+    type Then = fn(&mut TcpStream) -> bool;
+    let cases: [Then; 5] = [
+        |stream| write(stream, "HTTP/1.1 2"),
+        |stream| close_after(stream, "HTTP/1.1 2"),
+        |stream| write(stream, &answer("200 OK", "", "not yours")),
+        |stream| write(stream, "\0\0\0") && reset(stream),
+        |stream| reset(stream),
+    ];
+    for (case, then) in cases.into_iter().enumerate() {
+        // The rest is said once the answer has been taken: the connection rests then.
+        let gate = Gate::default();
+        let said = Gate::default();
+        let (held, done) = (gate.clone(), said.clone());
+        let (address, asked, ended) = scripted(move |number, stream| {
+            if !write(stream, &answer("200 OK", "", "value")) || number != 1 {
+                return true;
+            }
+            held.wait();
+            let goes_on = then(stream);
+            if goes_on {
+                done.open();
+            }
+            goes_on
+        });
+        let discovery = Discovery::start(&[host("s-1", address, "ready")]);
+        let node = Node::ready(&config(discovery.address));
+        assert_eq!(node.read("once", 1).body, b"value", "{case}");
+        gate.open();
+        if [0, 2].contains(&case) {
+            said.wait()
+        } else {
+            ended.wait()
+        }
+        for key in 2..5 {
+            let answer = node.read("once", key);
+            assert_eq!((answer.status(), &answer.body[..]), (200, &b"value"[..]), "{case}, {key}");
+        }
+        assert_eq!(asked.lock().unwrap()[..], ["1", "2", "3", "4"], "{case}");
+    }
+}
