--- a/crates/node/tests/departures.rs
+++ b/crates/node/tests/departures.rs
@@ -141,3 +141,31 @@
     }
     assert_eq!(one.count() + two.count(), 11);
 }
+
+// Guards against work for a client that came, asked and left before the node accepted it, or read its request.
+#[test]
+fn a_client_that_left_before_it_was_accepted_has_nothing_sent_on() {
+    let (server, gate) = CacheServer::gated("value");
+    let discovery = Discovery::start(&[server.entry("s-1", "ready")]);
+    let mut small = config(discovery.address);
+    small["limits"]["sockets"] = serde_json::json!(40);
+    let node = Node::ready(&small);
+    // Eight places.
+    let mut holding: Vec<_> = (1..=8).map(|_| node.client()).collect();
+    for (key, client) in (1..).zip(&mut holding) {
+        client.send(&read("read", key, 60_000));
+    }
+    wait_for("an attempt in every place", || server.count() == 8);
+    for key in 100..103 {
+        let mut unaccepted = node.client();
+        unaccepted.send(&read("read", key, 60_000));
+    }
+    gate.open();
+    for client in &mut holding {
+        assert_eq!(client.answer().expect("an answer").status(), 200);
+    }
+    drop(holding);
+    // Those were before it in the machine's queue.
+    assert_eq!(node.read("read", 200).status(), 200);
+    assert_eq!(server.count(), 9);
+}
