Play silent watches and the outage of discovery with twenty processes

Need: what many processes do when watches fall silent, or discovery is away, is to be shown on sockets with twenty processes at the least. Change: tests/silence.rs from 4 to 20 processes (each asks every 50 ms in place of 10), tests/outage.rs from 8 to 20.

--- a/crates/node/tests/outage.rs
+++ b/crates/node/tests/outage.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 const TOLD: Duration = Duration::from_secs(6);
-const NODES: usize = 8;
+const NODES: usize = 20;
 /// Enough for steps that grow with the number of nodes to have reached their longest.
 const FAILURES: usize = 6;
 
--- a/crates/node/tests/silence.rs
+++ b/crates/node/tests/silence.rs
@@ -89,11 +89,11 @@
 
 #[test]
 fn several_processes_whose_watches_fall_silent_together_leave_a_draining_server_in_time() {
-    const NODES: usize = 4;
+    const NODES: usize = 20;
     let times: Arc<Mutex<Vec<(usize, Instant)>>> = Arc::default();
     let noted = times.clone();
     let leaving = CacheServer::start(move |message| {
-        let node = usize::from_str_radix(&message.header("req-id").unwrap()[..1], 16).unwrap();
+        let node = usize::from_str_radix(&message.header("req-id").unwrap()[..2], 16).unwrap();
         noted.lock().unwrap().push((node, Instant::now()));
         Does::Answer(answer("200 OK", "", "leaving"))
     });
@@ -109,7 +109,7 @@
         .enumerate()
         .map(|(i, discovery)| {
             let mut config = config(discovery.address);
-            config["seed"] = json!(format!("8c1f30d27a5be96{i:x}"));
+            config["seed"] = json!(format!("8c1f30d27a5be9{i:02x}"));
             config["settings"]["balancers"] = json!(NODES);
             Node::ready(&config)
         })
@@ -127,13 +127,13 @@
             thread::spawn(move || {
                 let mut asked = 0;
                 while !over.load(Ordering::SeqCst) {
-                    // Numbers of one length, so that the first digit is the node's.
+                    // The first two digits are the node's.
                     let key = ((i as u64) << 32) + (1 << 31) + asked;
                     let text = read("read", key, 20_000)
-                        .replace(&format!("Req-Id: {key:x}"), &format!("Req-Id: {i:x}{asked:08x}"));
+                        .replace(&format!("Req-Id: {key:x}"), &format!("Req-Id: {i:02x}{asked:08x}"));
                     assert_eq!(client.ask(&text).status(), 200);
                     asked += 1;
-                    thread::sleep(Duration::from_millis(10));
+                    thread::sleep(Duration::from_millis(50));
                 }
                 asked
             })
