--- a/crates/decide/src/asking.rs
+++ b/crates/decide/src/asking.rs
@@ -159,11 +159,6 @@
         Call { wait, limit: wait + OVERDUE }
     }
 
-    /// Calls in a row that failed.
-    pub fn failures(&self) -> u32 {
-        self.failures
-    }
-
     /// Takes in how this call ended and gives the pause before the next one. `for_changes` is of the next.
     pub fn ended(&mut self, terms: Terms, call: Call, end: End, for_changes: bool, draw: f64) -> Duration {
         // A call that waits for nothing but its turn was given up because discovery has too much to do.
--- a/crates/node/src/fronts/table.rs
+++ b/crates/node/src/fronts/table.rs
@@ -45,6 +45,9 @@
 /// dropped, to see the end of the stream behind it, and its connection closes with the answer: the end of a client whose bytes
 /// nobody reads does not even reach this machine.
 const AHEAD: usize = 16 << 10;
+/// So many bytes are dropped for that. A client that sends more while it waits for an answer costs the node what others could
+/// have, for as long as it likes: its connection ends at once.
+const AHEAD_DROPPED: usize = 1 << 20;
 /// At the node's end a connection that has said nothing yet is given so long from its start: its first request is on its way.
 const GREETING: Duration = Duration::from_millis(100);
 
@@ -430,7 +433,7 @@
     state: Rc<State>,
     /// Bytes of next requests, until this one's answer is out.
     kept: BytesMut,
-    /// Bytes dropped while lingering.
+    /// Bytes dropped while lingering, or ahead of an answer after which the connection closes.
     dropped: usize,
 }
 
@@ -460,7 +463,7 @@
     }
 
     /// Reads on while a request is under way, for the sake of the end of the stream: a client that closes has gone. Given to
-    /// hyper, what comes ahead would keep it from looking further. Ready only at the end.
+    /// hyper, what comes ahead would keep it from looking further. Ready only at the end, or where it is taken for one.
     fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.state.ahead.set(self.state.ahead.get() || !self.kept.is_empty());
         loop {
@@ -480,6 +483,10 @@
                 self.kept.extend_from_slice(&bytes[..read]);
             } else {
                 self.state.overrun.set(true);
+                self.dropped += read;
+                if self.dropped > AHEAD_DROPPED {
+                    return Poll::Ready(Ok(()));
+                }
             }
         }
     }
@@ -547,6 +554,7 @@
                 return Poll::Ready(Ok(()));
             }
             self.state.enter(Phase::Lingering);
+            self.dropped = 0;
         }
         let mut bytes = [0; READ];
         while self.dropped < LINGER_BYTES {
