Name the messages between the processes of a scale run

The scale run starts hollow nodes and replicas of discovery as processes of their own; they talk by lines of JSON. These are the types of both directions. Nothing uses them yet.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod live;
 pub mod page;
 pub mod report;
+pub mod scale;
 pub mod scenarios;
 pub mod script;
 pub mod simulate;
