Take the import circle of api, balance, admission and hot_keys apart

`api` imported `balance` for `Knowledge`, and `balance`, `admission` and `hot_keys` imported `api`, so none could be read without the others.

The shared types now stand in files below them: `names`, `time`, `settings`, `servers`, `requests`, `knowledge` (the plain data; its conversion stays in `balance/knowledge.rs`) and `events`. `api` re-exports them, so the public paths stay. No decision and no type changes.

--- a/crates/decide/src/admission.rs
+++ b/crates/decide/src/admission.rs
@@ -13,7 +13,8 @@
 //! What is not let in is what is worth least for its work, so that the most worth is served by what there is; a floor is
 //! left to each class, since its answers are evidence too.
 
-use crate::api::{Class, Timestamp};
+use crate::settings::Class;
+use crate::time::Timestamp;
 use std::time::Duration;
 
 /// Evidence counts for about so long: servers that are too full are so for two to three seconds (docs/design/evidence.md).
--- a/crates/decide/src/balance.rs
+++ b/crates/decide/src/balance.rs
@@ -2,11 +2,10 @@
 
 mod knowledge;
 
-pub use knowledge::Knowledge;
-
 use crate::admission::{Door, End};
 use crate::api::*;
 use crate::hot_keys::HotKeys;
+use crate::knowledge::Knowledge;
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/decide/src/balance/knowledge.rs
+++ b/crates/decide/src/balance/knowledge.rs
@@ -1,63 +1,7 @@
-//! What one life of a balancer learned, for the next one that takes its place: plain data, with ages and times left in
-//! place of points on a clock, since the next one's clock may be another.
-//!
-//! What is out is not part of it: whoever sent it hears of its end.
+//! Conversion between the balancer's state and [`Knowledge`], which a successor takes on.
 
 use super::*;
-use serde::{Deserialize, Serialize};
-
-/// See the module's page. Times are in microseconds.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Knowledge {
-    servers: Vec<KnownServer>,
-    kinds: Vec<KnownKind>,
-    /// By class: what its answers take, in seconds.
-    usual: Vec<(String, f64)>,
-    usual_work: f64,
-    origin: KnownBreaker,
-    /// Keys whose last answer was held by its server, or not.
-    kept: Vec<(u64, bool)>,
-    /// What servers most likely hold, in the present span and the one before, and how long ago that began.
-    warm: [Vec<u64>; 2],
-    warm_age: u64,
-    /// `None` where likely misses are not limited.
-    fetch_limit: Option<f64>,
-    ends: [(f64, f64); 2],
-    good: f64,
-    /// Of what is asked for, the part that is let in; `None` where all of it is.
-    door: Option<f64>,
-    retry_budget: f64,
-}
-
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-struct KnownServer {
-    id: String,
-    started: Option<u64>,
-    breaker: KnownBreaker,
-    by_class: Vec<(String, KnownBreaker)>,
-    /// Sends in the span that counts, while it is cold.
-    used: u32,
-    limit: f64,
-    /// How long ago it last told of no queue.
-    unqueued_age: Option<u64>,
-}
-
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-struct KnownKind {
-    name: Option<String>,
-    pace: f64,
-    answers: f64,
-}
-
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-struct KnownBreaker {
-    /// `None` while it is closed. One that was half-open has none left: trials begin anew.
-    open_left: Option<u64>,
-    window_left: u64,
-    calls: u32,
-    failures: u32,
-    usual: u32,
-}
+use crate::knowledge::{KnownBreaker, KnownKind, KnownServer};
 
 /// More than this was never counted.
 const MANY: u32 = 1 << 30;
--- a/crates/decide/src/hot_keys.rs
+++ b/crates/decide/src/hot_keys.rs
@@ -9,7 +9,7 @@
 //! bounded number of keys by space-saving (Metwally, Agrawal, El Abbadi, "Efficient Computation of Frequent and Top-k
 //! Elements in Data Streams", ICDT 2005): a stranger's keys push out each other, never one that is asked for often.
 
-use crate::api::Timestamp;
+use crate::time::Timestamp;
 use std::collections::HashMap;
 use std::time::Duration;
 
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,6 +1,8 @@
 //! Every decision of the node, without I/O: events go in, actions come out, and equal events give equal actions.
 //!
 //! Start from [`Balancer`], fed with [`Event`]s through [`Balancer::handle`], and the [`Settings`] it is made from.
+//! Their types are in [`events`], [`requests`], [`servers`], [`settings`], [`names`] and [`time`]; [`api`] has all of them.
+//! [`knowledge`] is what a balancer hands on to its successor.
 //! [`admission`] tells what a node lets in of what is asked for.
 //! [`handover`] decides who accepts clients while one process takes another's place.
 //! [`asking`] tells when a node asks discovery, and when a watch is dead.
@@ -12,11 +14,19 @@
 pub mod api;
 pub mod asking;
 pub mod balance;
+pub mod events;
 pub mod handover;
 pub mod hot_keys;
+pub mod knowledge;
 pub mod membership;
+pub mod names;
 pub mod platform;
+pub mod requests;
+pub mod servers;
+pub mod settings;
 pub mod supervise;
+pub mod time;
 
 pub use api::*;
-pub use balance::{Balancer, Knowledge};
+pub use balance::Balancer;
+pub use knowledge::Knowledge;
--- a/crates/decide/src/supervise.rs
+++ b/crates/decide/src/supervise.rs
@@ -4,7 +4,7 @@
 //! An instance is a place (a configuration, an address); processes come and go in it. A process that was told to stop or
 //! has handed over is left alone until it ends, or until its time is up.
 
-use crate::api::Timestamp;
+use crate::time::Timestamp;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
