Split the balancing policy into files by job, and name them in the field's words

Hashing and the sets and counts that decay, which decide nothing, stand beside the policy. `Door` is `AdmissionController`, `End` `AttemptEnd`, `HotKeys::width` `replication_factor`; settings and the names in a handed-over `Knowledge` stay as they were.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -3,11 +3,11 @@
 //! Start from [`Balancer`], fed with [`Event`]s through [`Balancer::handle`], and the [`Settings`] it is made from.
 //! Their types are in [`events`], [`requests`], [`servers`], [`settings`], [`names`] and [`time`]; [`api`] has all of them.
 //! [`knowledge`] is what a balancer hands on to its successor.
-//! [`admission`] tells what a node lets in of what is asked for.
+//! [`admission`] controls how much of the demand a node admits.
 //! [`handover`] decides who accepts clients while one process takes another's place.
 //! [`asking`] tells when a node asks discovery, and when a watch is dead.
 //! [`membership`] tells which lists of discovery's are taken.
-//! [`hot_keys`] tells over how many servers a key is spread.
+//! [`hot_keys`] has the replication factor of a key.
 //! [`supervise`] keeps a fleet of instances going. [`platform`] reads settings and load reports as the platform words them.
 
 pub mod admission;
@@ -16,11 +16,13 @@
 pub mod balance;
 pub mod events;
 pub mod handover;
+mod hashing;
 pub mod hot_keys;
 pub mod knowledge;
 pub mod membership;
 pub mod names;
 pub mod platform;
+mod recent;
 pub mod requests;
 pub mod servers;
 pub mod settings;
