--- a/crates/rig/src/live/mod.rs
+++ b/crates/rig/src/live/mod.rs
@@ -12,6 +12,8 @@
 mod node;
 mod wire;
 
+pub(crate) use node::class_table;
+
 use crate::conduct;
 use crate::demand::{Ask, Demand};
 use crate::draw::Draw;
--- a/crates/rig/src/live/node.rs
+++ b/crates/rig/src/live/node.rs
@@ -159,7 +159,8 @@
     )
 }
 
-fn class_table(class: &Class) -> String {
+/// A class as an operator's file has it.
+pub fn class_table(class: &Class) -> String {
     let time = |time: Duration| format!("\"{}\"", time_text(time));
     let effect = match class.effect {
         Effect::Safe => "\"safe\"".to_owned(),
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -4,3 +4,4 @@
 //! kubelets). Processes talk to the run by the lines of JSON in [`messages`].
 
 pub mod messages;
+pub mod real;
--- /dev/null
+++ b/crates/rig/src/scale/real/settings.rs
@@ -0,0 +1,83 @@
+//! What real nodes are, and what they are asked.
+
+use super::RealError;
+use crate::scale::messages::ReplicaCapacity;
+use crate::script::Class;
+use decide::{Effect, Scope};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// More real nodes than this are not started; each is a process.
+pub const MOST_NODES: u32 = 64;
+/// Requests a second over all nodes.
+pub(super) const MOST_RATE: f64 = 10_000.0;
+
+/// What real nodes are, and what they are asked.
+#[derive(Clone, Debug)]
+pub struct RealSettings {
+    /// The program, `pinhead`.
+    pub program: PathBuf,
+    /// How many real nodes, from 1 to [`MOST_NODES`].
+    pub count: u32,
+    /// How many nodes the whole fleet has, the hollow ones too: what nodes are told.
+    pub fleet: u32,
+    /// Zones of the nodes, dealt in turn by their numbers.
+    pub zones: Vec<String>,
+    /// Addresses of discovery.
+    pub replicas: Vec<SocketAddr>,
+    /// What a replica can do, if nodes are told it.
+    pub capacity: Option<ReplicaCapacity>,
+    /// Requests a second over all real nodes.
+    pub rate: f64,
+    /// What they ask for; [`classes`] will do.
+    pub classes: Vec<Class>,
+    /// Decides every draw.
+    pub seed: u64,
+}
+
+impl RealSettings {
+    pub(super) fn check(&self) -> Result<(), RealError> {
+        if !(1..=MOST_NODES).contains(&self.count) {
+            return Err(RealError::Nodes { found: self.count });
+        }
+        if self.zones.is_empty() {
+            return Err(RealError::Zones);
+        }
+        if self.replicas.is_empty() {
+            return Err(RealError::Replicas);
+        }
+        if !(self.rate > 0.0 && self.rate <= MOST_RATE) {
+            return Err(RealError::Rate { found: self.rate });
+        }
+        if self.classes.is_empty()
+            || self.classes.iter().any(|class| class.share.is_nan() || class.share <= 0.0)
+        {
+            return Err(RealError::Classes);
+        }
+        Ok(())
+    }
+}
+
+/// Reads of a safe class, and writes of a keyed and of an unsafe one, with little work each. Their deadline is long:
+/// a rig that is short of processor time must not be what loses a request.
+pub fn classes() -> Vec<Class> {
+    let class = |name: &str, share, effect, write| Class {
+        name: name.into(),
+        share,
+        work: Duration::from_millis(2),
+        spread: 0.5,
+        aim: Duration::from_secs(1),
+        deadline: Duration::from_secs(10),
+        worth: 1.0,
+        late_worth: 0.4,
+        effect,
+        write,
+    };
+    let keyed = Effect::Keyed { scope: Scope::All, window: Duration::from_secs(20) };
+    vec![
+        class("read", 0.6, Effect::Safe, false),
+        class("keyed-write", 0.2, keyed, true),
+        class("unsafe-write", 0.2, Effect::Unsafe, true),
+    ]
+}
