--- /dev/null
+++ b/crates/node/tests/scale_real.rs
@@ -0,0 +1,201 @@
+//! Real nodes of a scale run with the real program: stand-in cache servers and clients round them, judged by the rules.
+
+mod common;
+
+use common::Discovery;
+use rig::scale::messages::ListedServer;
+use rig::scale::real::judge::{DRAIN_GRACE, TOLD_AFTER};
+use rig::scale::real::{
+    classes, CacheServers, RealError, RealNodes, RealReport, RealSettings, RulesBroken, ServerSettings,
+};
+use serde_json::Value;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::time::sleep;
+
+/// Far longer than anything here takes: a wait that reaches it has failed.
+const PATIENCE: Duration = Duration::from_secs(120);
+const NODES: u32 = 3;
+const SERVERS: u32 = 40;
+/// Requests that are out at one node at the most.
+const MOST_OUT: u64 = 32;
+
+/// A fleet of cache servers, what discovery has of it, and nodes.
+struct Run {
+    listed: Vec<ListedServer>,
+    discovery: Discovery,
+    nodes: RealNodes,
+}
+
+fn entries(listed: &[ListedServer]) -> Vec<Value> {
+    let present = listed.iter().filter(|server| server.health != "gone");
+    present.map(|server| serde_json::to_value(server).unwrap()).collect()
+}
+
+fn now_us() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_micros() as u64
+}
+
+fn settings(discovery: &Discovery) -> RealSettings {
+    RealSettings {
+        program: env!("CARGO_BIN_EXE_pinhead").into(),
+        count: NODES,
+        fleet: NODES,
+        zones: vec!["a".into(), "b".into()],
+        replicas: vec![discovery.address],
+        capacity: None,
+        rate: 100.0,
+        classes: classes(),
+        seed: 7,
+    }
+}
+
+impl Run {
+    async fn start() -> Self {
+        let zones = vec!["a".into(), "b".into()];
+        let servers = CacheServers::start(ServerSettings { count: SERVERS, zones }).await.unwrap();
+        let listed = servers.servers();
+        let discovery = Discovery::start(&entries(&listed));
+        let nodes = RealNodes::start(&servers, settings(&discovery)).await.unwrap();
+        Self { listed, discovery, nodes }
+    }
+
+    /// Waits until so many more requests were made.
+    async fn more(&self, requests: u64) {
+        let (start, enough) = (Instant::now(), self.nodes.asked() + requests);
+        while self.nodes.asked() < enough {
+            assert!(start.elapsed() < PATIENCE, "waited in vain for {requests} requests");
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Changes entries of the list, and tells the judge and the servers.
+    fn change(&mut self, places: std::ops::Range<usize>, change: impl Fn(&mut ListedServer)) {
+        for place in places {
+            change(&mut self.listed[place]);
+            self.nodes.notify(&self.listed[place], now_us()).unwrap();
+        }
+    }
+
+    /// Discovery tells what it has.
+    fn tell(&self) {
+        self.discovery.tell(true, &entries(&self.listed));
+    }
+}
+
+fn health(health: &'static str) -> impl Fn(&mut ListedServer) {
+    move |server| server.health = health.into()
+}
+
+fn accounted(report: &RealReport, asked: u64) {
+    let answers = report.served + report.refused + report.failed + report.unanswered;
+    assert_eq!(report.requests, answers, "{report:#?}");
+    // What was not taken found no node where it was sent.
+    assert!(report.requests <= asked, "{report:#?}");
+    assert!(report.attempts >= report.served, "{report:#?}");
+    assert_eq!((report.turned_away, report.nodes.len()), (0, NODES as usize));
+}
+
+#[tokio::test]
+async fn nodes_keep_the_rules_through_drains_departures_a_cold_return_and_a_kill() {
+    let mut run = Run::start().await;
+    run.more(100).await;
+    run.change(0..8, health("draining"));
+    run.tell();
+    let drained = Instant::now();
+    run.more(100).await;
+    run.nodes.kill(1).await.unwrap();
+    run.more(50).await;
+    assert!(matches!(run.nodes.kill(1).await, Err(RealError::NoNode { node: 1, expected: "runs" })));
+    assert!(matches!(run.nodes.kill(NODES).await, Err(RealError::NoNode { .. })));
+    run.nodes.launch(1).await.unwrap();
+    assert!(matches!(run.nodes.launch(1).await, Err(RealError::NoNode { node: 1, expected: "was killed" })));
+    run.change(0..4, health("gone"));
+    run.tell();
+    // The judge has an eye on drains from then on.
+    let term = TOLD_AFTER + DRAIN_GRACE * 2;
+    sleep(term.saturating_sub(drained.elapsed())).await;
+    run.more(100).await;
+    run.change(0..2, |server| {
+        server.host += ".1";
+        server.health = "ready".into();
+        server.born_ms = now_us() / 1_000;
+    });
+    run.tell();
+    run.more(100).await;
+    let asked = run.nodes.asked();
+    let usage = run.nodes.usage();
+    let names: Vec<_> = usage.iter().map(|node| (node.name.as_str(), node.running)).collect();
+    assert_eq!(names, [("real-0", true), ("real-1", true), ("real-2", true)]);
+    assert!(usage.iter().all(|node| node.rss_anon > 0), "{usage:?}");
+    let report = run.nodes.finish().await;
+    accounted(&report, asked + MOST_OUT * u64::from(NODES));
+    assert_eq!(report.rules_broken, RulesBroken::default(), "{report:#?}");
+    // Only the killed node may leave requests without an answer.
+    assert!(report.unanswered <= MOST_OUT, "{report:#?}");
+    assert!(report.served > 0 && report.latency.p50_us > 0, "{report:#?}");
+    assert!(report.latency.p50_us <= report.latency.p99_us);
+}
+
+#[tokio::test]
+async fn a_drain_that_nodes_are_never_told_of_breaks_the_rule() {
+    let mut run = Run::start().await;
+    run.more(50).await;
+    // Not told by discovery: nodes go on sending there.
+    run.change(0..SERVERS as usize / 2, health("draining"));
+    sleep(TOLD_AFTER + DRAIN_GRACE * 2).await;
+    run.more(100).await;
+    let report = run.nodes.finish().await;
+    let RulesBroken { lost, repeated_effect, after_drain, cold_server_fell } = report.rules_broken;
+    assert!(after_drain > 0, "{report:#?}");
+    assert_eq!((lost, repeated_effect, cold_server_fell), (0, 0, 0), "{report:#?}");
+    assert!(report.breaches.iter().all(|breach| breach.rule == 3), "{report:#?}");
+}
+
+#[tokio::test]
+async fn an_outage_of_discovery_excuses_what_nodes_could_not_hear() {
+    let mut run = Run::start().await;
+    run.more(50).await;
+    let from = now_us();
+    run.change(0..SERVERS as usize / 2, health("draining"));
+    sleep(TOLD_AFTER + DRAIN_GRACE * 2).await;
+    run.more(100).await;
+    let asked = run.nodes.asked();
+    run.nodes.discovery_away(from, now_us());
+    let report = run.nodes.finish().await;
+    accounted(&report, asked + MOST_OUT * u64::from(NODES));
+    assert_eq!(report.rules_broken, RulesBroken::default(), "{report:#?}");
+}
+
+#[tokio::test]
+async fn files_and_processes_go_with_the_nodes() {
+    let run = Run::start().await;
+    let folder = run.nodes.folder().to_owned();
+    let files = std::fs::read_dir(&folder).unwrap().count();
+    assert_eq!(files, NODES as usize);
+    let processes = run.nodes.processes();
+    assert_eq!(processes.len(), NODES as usize);
+    drop(run);
+    assert!(!folder.exists());
+    // Killed and not waited for, they are gone when the runtime has had its turn.
+    let start = Instant::now();
+    while processes.iter().any(|id| runs(*id)) {
+        assert!(start.elapsed() < PATIENCE, "a node outlives its run");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Whether a process runs: it is there, and not one that has ended and is not waited for.
+fn runs(process: u32) -> bool {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat"));
+    stat.is_ok_and(|stat| !stat.rsplit_once(") ").is_some_and(|(_, rest)| rest.starts_with('Z')))
+}
+
+#[tokio::test]
+async fn a_node_that_does_not_start_is_an_error_that_says_why() {
+    let zones = vec!["a".into()];
+    let servers = CacheServers::start(ServerSettings { count: 1, zones }).await.unwrap();
+    let discovery = Discovery::start(&entries(&servers.servers()));
+    let bad = RealSettings { fleet: 0, ..settings(&discovery) };
+    let error = RealNodes::start(&servers, bad).await.unwrap_err().to_string();
+    assert!(error.contains("nodes: expected a whole number from 1 to 10000, found 0"), "{error}");
+}
--- a/crates/rig/src/scale/real/mod.rs
+++ b/crates/rig/src/scale/real/mod.rs
@@ -38,7 +38,7 @@
 use load::{Clients, Node, Seen};
 use process::Process;
 use recorder::lock;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use tempfile::TempDir;
@@ -75,7 +75,7 @@
     stop: watch::Sender<bool>,
     load: JoinHandle<()>,
     /// Behind the slots: nodes go before their files.
-    _folder: TempDir,
+    folder: TempDir,
 }
 
 impl Drop for RealNodes {
@@ -114,7 +114,7 @@
         }
         let load = tokio::spawn(Arc::new(clients).run(stopped));
         let servers = servers.clone();
-        Ok(Self { servers, settings, slots, nodes, seen, log_lines, stop, load, _folder: folder })
+        Ok(Self { servers, settings, slots, nodes, seen, log_lines, stop, load, folder })
     }
 
     /// Takes in what discovery has of a cache server since `at_us`; see [`CacheServers::notify`].
@@ -172,6 +172,21 @@
         Ok(())
     }
 
+    /// Requests that clients have begun to make up to now.
+    pub fn asked(&self) -> u64 {
+        self.servers.recorder().asked()
+    }
+
+    /// Where the nodes' files lie for as long as this lasts.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Ids of the nodes' processes, of those that run.
+    pub fn processes(&self) -> Vec<u32> {
+        self.slots.iter().filter_map(|slot| slot.process.as_ref()?.id()).collect()
+    }
+
     /// What the nodes have used up to now.
     pub fn usage(&self) -> Vec<NodeUsage> {
         let used = self.slots.iter().enumerate().map(|(number, slot)| {
--- a/crates/rig/src/scale/real/recorder.rs
+++ b/crates/rig/src/scale/real/recorder.rs
@@ -89,6 +89,11 @@
         ask
     }
 
+    /// How many requests there have been.
+    pub fn asked(&self) -> u64 {
+        lock(&self.state).requests.len() as u64
+    }
+
     /// Takes in an attempt at this request: what there was before it; `None` where no client has sent this number.
     pub fn attempt(&self, request: TryId) -> Option<Sent> {
         let mut state = lock(&self.state);
