Report how late the load came, whether it ran out, and try a cold server's fall

A breach by less than the rig's own lateness may be the machine's; the report says how late the clients came, and whether the most requests of a run were made before its end.

--- a/crates/node/tests/scale_real.rs
+++ b/crates/node/tests/scale_real.rs
@@ -93,6 +93,7 @@
     assert!(report.requests <= asked, "{report:#?}");
     assert!(report.attempts >= report.served, "{report:#?}");
     assert_eq!((report.turned_away, report.nodes.len()), (0, NODES as usize));
+    assert!(!report.load_ran_out);
 }
 
 #[tokio::test]
@@ -166,6 +167,28 @@
     assert_eq!(report.rules_broken, RulesBroken::default(), "{report:#?}");
 }
 
+#[tokio::test]
+async fn a_cold_server_that_is_sent_too_much_falls() {
+    let zones = vec!["a".into()];
+    let servers = CacheServers::start(ServerSettings { count: 2, zones }).await.unwrap();
+    let listed = servers.servers();
+    let discovery = Discovery::start(&entries(&listed));
+    let mut costly = classes();
+    costly.iter_mut().for_each(|class| class.work = Duration::from_secs(5));
+    let nodes = RealNodes::start(&servers, RealSettings { classes: costly, ..settings(&discovery) });
+    let nodes = nodes.await.unwrap();
+    // Nodes are not told that they are cold, and so do not spare them.
+    for server in &listed {
+        nodes.notify(&ListedServer { born_ms: now_us() / 1_000, ..server.clone() }, now_us()).unwrap();
+    }
+    let run = Run { listed, discovery, nodes };
+    run.more(100).await;
+    let report = run.nodes.finish().await;
+    let RulesBroken { lost, repeated_effect, after_drain, cold_server_fell } = report.rules_broken;
+    assert!((1..=2).contains(&cold_server_fell), "{report:#?}");
+    assert_eq!((lost, repeated_effect, after_drain), (0, 0, 0), "{report:#?}");
+}
+
 #[tokio::test]
 async fn files_and_processes_go_with_the_nodes() {
     let run = Run::start().await;
--- a/crates/rig/src/scale/real/load.rs
+++ b/crates/rig/src/scale/real/load.rs
@@ -12,7 +12,7 @@
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use thiserror::Error;
@@ -108,10 +108,21 @@
 pub struct Seen {
     /// Requests that were not made, since too many were out or no node was there.
     pub held_back: AtomicU64,
+    /// A client came so late with a request at the most, in microseconds: the machine was busy.
+    pub latest_us: AtomicU64,
+    /// The most requests of a run were made, and there is no more load.
+    pub ran_out: AtomicBool,
     /// How long served requests took, in microseconds.
     pub latencies: Mutex<Vec<u32>>,
 }
 
+impl Seen {
+    fn came_late(&self, by: Duration) {
+        let by = u64::try_from(by.as_micros()).unwrap_or(u64::MAX);
+        self.latest_us.fetch_max(by, Ordering::Relaxed);
+    }
+}
+
 /// The clients of all nodes.
 #[derive(Debug)]
 pub struct Clients {
@@ -142,6 +153,8 @@
                 // A sender that is gone wants nothing more either.
                 _ = stop.wait_for(|stop| *stop) => break,
             }
+            self.seen.came_late(due.elapsed());
+            self.seen.ran_out.store(number + 1 == MOST_REQUESTS, Ordering::Relaxed);
             let node = (draw.on(2).bits() % self.nodes.len() as u64) as usize;
             let Ok(permit) = self.nodes[node].out.clone().try_acquire_owned() else {
                 self.seen.held_back.fetch_add(1, Ordering::Relaxed);
--- a/crates/rig/src/scale/real/mod.rs
+++ b/crates/rig/src/scale/real/mod.rs
@@ -222,6 +222,8 @@
             failed,
             unanswered: verdict.taken - served - refused - failed,
             held_back: self.seen.held_back.load(Ordering::Relaxed),
+            load_ran_out: self.seen.ran_out.load(Ordering::Relaxed),
+            latest_us: self.seen.latest_us.load(Ordering::Relaxed),
             attempts: verdict.attempts,
             turned_away: self.servers.turned_away(),
             log_lines: self.log_lines.load(Ordering::Relaxed),
--- a/crates/rig/src/scale/real/report.rs
+++ b/crates/rig/src/scale/real/report.rs
@@ -76,6 +76,11 @@
     pub unanswered: u64,
     /// Requests that were not made, since too many were out at their node or it was not there.
     pub held_back: u64,
+    /// The most requests of a run were made, and nodes had no load from then on.
+    pub load_ran_out: bool,
+    /// A client came so late with a request at the most, in microseconds. Where that is no small part of the 50 ms that the
+    /// rules allow for, the machine was too busy, and a breach by less than this may be the rig's.
+    pub latest_us: u64,
     /// Attempts that reached cache servers.
     pub attempts: u64,
     /// Connections that cache servers closed at once, since they held as many as they may.
