--- a/crates/node/tests/scale_real.rs
+++ b/crates/node/tests/scale_real.rs
@@ -189,6 +189,20 @@
     assert_eq!((lost, repeated_effect, after_drain), (0, 0, 0), "{report:#?}");
 }
 
+#[tokio::test]
+async fn without_load_nothing_is_asked_and_nothing_is_broken() {
+    let zones = vec!["a".into()];
+    let servers = CacheServers::start(ServerSettings { count: 2, zones }).await.unwrap();
+    let discovery = Discovery::start(&entries(&servers.servers()));
+    let idle = RealSettings { rate: 0.0, ..settings(&discovery) };
+    let nodes = RealNodes::start(&servers, idle).await.unwrap();
+    discovery.wait_until_told(1);
+    let report = nodes.finish().await;
+    accounted(&report, 0);
+    assert_eq!((report.attempts, report.held_back, report.rules_broken), (0, 0, RulesBroken::default()));
+    assert_eq!((report.latency.p50_us, report.latency.p99_us), (0, 0));
+}
+
 #[tokio::test]
 async fn files_and_processes_go_with_the_nodes() {
     let run = Run::start().await;
@@ -197,6 +211,8 @@
     assert_eq!(files, NODES as usize);
     let processes = run.nodes.processes();
     assert_eq!(processes.len(), NODES as usize);
+    // Each in a group of its own: Ctrl-C at a terminal is for the run alone.
+    assert!(processes.iter().all(|id| group(*id) == Some(*id)));
     drop(run);
     assert!(!folder.exists());
     // Killed and not waited for, they are gone when the runtime has had its turn.
@@ -207,6 +223,12 @@
     }
 }
 
+/// The group of a process: the third field behind its name.
+fn group(process: u32) -> Option<u32> {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
+    stat.rsplit_once(") ")?.1.split(' ').nth(2)?.parse().ok()
+}
+
 /// Whether a process runs: it is there, and not one that has ended and is not waited for.
 fn runs(process: u32) -> bool {
     let stat = std::fs::read_to_string(format!("/proc/{process}/stat"));
--- a/crates/rig/src/scale/real/error.rs
+++ b/crates/rig/src/scale/real/error.rs
@@ -52,7 +52,7 @@
     #[error("replicas: expected at least one address of discovery")]
     Replicas,
     /// A load that can't be made.
-    #[error("rate: expected a number above 0, up to {MOST_RATE}, found {found}")]
+    #[error("rate: expected a number from 0 to {MOST_RATE}, found {found}")]
     Rate {
         /// What was found.
         found: f64,
--- a/crates/rig/src/scale/real/load.rs
+++ b/crates/rig/src/scale/real/load.rs
@@ -25,6 +25,8 @@
 const MOST_OUT: usize = 32;
 /// Requests of one run; the judge keeps what became of each.
 const MOST_REQUESTS: u64 = 500_000;
+/// Time between two requests at the most; no run lasts so long.
+const LONGEST_GAP: Duration = Duration::from_secs(365 * 24 * 3_600);
 /// Entries that are asked for.
 const KEYS: u64 = 64;
 /// An answer that is longer is none of the stand-ins'.
@@ -147,7 +149,7 @@
         let mut due = Instant::now();
         for number in 0..MOST_REQUESTS {
             let draw = self.draw.on(number);
-            due += Duration::from_secs_f64(draw.on(1).exponential() / self.rate);
+            due += self.gap(draw.on(1));
             tokio::select! {
                 () = sleep_until(due) => {}
                 // A sender that is gone wants nothing more either.
@@ -171,6 +173,12 @@
         while out.join_next().await.is_some() {}
     }
 
+    /// The time between two requests; with no load, long after the end of a run.
+    fn gap(&self, draw: Draw) -> Duration {
+        Duration::try_from_secs_f64(draw.exponential() / self.rate)
+            .map_or(LONGEST_GAP, |gap| gap.min(LONGEST_GAP))
+    }
+
     fn class(&self, draw: Draw) -> usize {
         let all: f64 = self.classes.iter().map(|class| class.share).sum();
         let mut left = draw.unit() * all;
--- a/crates/rig/src/scale/real/process.rs
+++ b/crates/rig/src/scale/real/process.rs
@@ -94,6 +94,8 @@
             command.env_remove(variable);
         }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
+        // Ctrl-C is for the run, which ends its nodes itself; a node that ended first would lose requests.
+        command.process_group(0);
         let mut child = command.spawn().map_err(RealError::system(program.display().to_string()))?;
         let failed = |said: &str| RealError::Node { node, said: said.to_owned() };
         let log = child.stderr.take().ok_or_else(|| failed("it has no log"))?;
--- a/crates/rig/src/scale/real/settings.rs
+++ b/crates/rig/src/scale/real/settings.rs
@@ -28,7 +28,7 @@
     pub replicas: Vec<SocketAddr>,
     /// What a replica can do, if nodes are told it.
     pub capacity: Option<ReplicaCapacity>,
-    /// Requests a second over all real nodes.
+    /// Requests a second over all real nodes; 0 for none.
     pub rate: f64,
     /// What they ask for; [`classes`] will do.
     pub classes: Vec<Class>,
@@ -47,7 +47,7 @@
         if self.replicas.is_empty() {
             return Err(RealError::Replicas);
         }
-        if !(self.rate > 0.0 && self.rate <= MOST_RATE) {
+        if !(0.0..=MOST_RATE).contains(&self.rate) {
             return Err(RealError::Rate { found: self.rate });
         }
         if self.classes.is_empty()
