Let a set of stand-in cache servers serve one run of real nodes

Requests are numbered from 0 and the judge's books close at the end: a second run on the same servers would have had its requests judged against none.

--- a/crates/rig/src/scale/real/error.rs
+++ b/crates/rig/src/scale/real/error.rs
@@ -60,6 +60,9 @@
     /// No class, or a share that is none.
     #[error("classes: expected at least one, each with a share above 0")]
     Classes,
+    /// The cache servers have had nodes before.
+    #[error("these cache servers were used in a run before; a further one starts its own")]
+    Used,
     /// Too few descriptors.
     #[error("this process may hold {limit} descriptors, and its cache servers need {needed}")]
     Descriptors {
--- a/crates/rig/src/scale/real/mod.rs
+++ b/crates/rig/src/scale/real/mod.rs
@@ -89,12 +89,14 @@
     ///
     /// # Errors
     ///
-    /// Where a setting is out of its range, the program can't be run, or a node isn't ready in time.
+    /// Where a setting is out of its range, the cache servers have had nodes before, the program can't be run, or a node isn't ready in time.
     pub async fn start(servers: &CacheServers, settings: RealSettings) -> Result<Self, RealError> {
         settings.check()?;
         let folder = tempfile::Builder::new().prefix("pinhead-scale-").tempdir();
         let folder = folder.map_err(RealError::system("a temporary folder"))?;
-        servers.recorder().judge(|judge| judge.set_nodes(settings.count as usize));
+        if !servers.recorder().begin(settings.count as usize) {
+            return Err(RealError::Used);
+        }
         let log_lines = Arc::<AtomicU64>::default();
         let slots = start_all(&settings, &folder, &log_lines).await?;
         let nodes: Arc<Vec<_>> = Arc::new(slots.iter().map(|_| Node::new()).collect());
--- a/crates/rig/src/scale/real/recorder.rs
+++ b/crates/rig/src/scale/real/recorder.rs
@@ -32,6 +32,8 @@
 #[derive(Debug)]
 struct State {
     judge: Judge,
+    /// A run has begun.
+    begun: bool,
     /// By number.
     requests: Vec<Sent>,
 }
@@ -49,7 +51,7 @@
         let begun_unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Self {
             clock: Clock { begun: Instant::now(), begun_unix },
-            state: Mutex::new(State { judge: Judge::new(0), requests: Vec::new() }),
+            state: Mutex::new(State { judge: Judge::new(0), begun: false, requests: Vec::new() }),
         }
     }
 
@@ -73,6 +75,16 @@
         change(&mut lock(&self.state).judge)
     }
 
+    /// A run of so many nodes begins; `false` where one has begun before: requests are numbered from 0 once.
+    pub fn begin(&self, nodes: usize) -> bool {
+        let mut state = lock(&self.state);
+        let first = !std::mem::replace(&mut state.begun, true);
+        if first {
+            state.judge.set_nodes(nodes);
+        }
+        first
+    }
+
     /// Writes down what happens now.
     pub fn note(&self, fact: impl FnOnce(Timestamp) -> Fact) {
         let mut state = lock(&self.state);
--- a/crates/rig/tests/scale_real.rs
+++ b/crates/rig/tests/scale_real.rs
@@ -466,6 +466,8 @@
         (changed(&|s| s.classes.clear()), "classes: expected at least one, each with a share above 0"),
         (changed(&|s| s.classes[0].share = 0.0), "classes: expected at least one, each with a share above 0"),
         (good.clone(), "no such program: No such file or directory (os error 2)"),
+        // The run before it had begun when its program turned out not to be there.
+        (good.clone(), "these cache servers were used in a run before; a further one starts its own"),
     ];
     for (settings, expected) in bad {
         let error = RealNodes::start(&servers, settings).await.unwrap_err();
