--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`handover`] decides who accepts clients while one process takes another's place.
 //! [`asking`] tells when a node asks discovery, and when a watch is dead.
 //! [`membership`] tells which lists of discovery's are taken.
+//! [`replicas`] tells which replica of discovery a node asks, and what one can do for its share of the nodes.
 //! [`hot_keys`] tells over how many servers a key is spread.
 //! [`supervise`] keeps a fleet of instances going. [`platform`] reads settings and load reports as the platform words them.
 
@@ -16,6 +17,7 @@
 pub mod hot_keys;
 pub mod membership;
 pub mod platform;
+pub mod replicas;
 pub mod supervise;
 
 pub use api::*;
