Order replicas of discovery, fail over between them, and pace calls by a replica's share

A pool will name several addresses. With one replica and no capacity the calls are those of before: tests/asking.rs is unchanged and passes (13 of 13).

--- a/crates/decide/src/asking.rs
+++ b/crates/decide/src/asking.rs
@@ -13,8 +13,12 @@
 //! discovery can answer, however many they are. But whatever came of a call, what discovery has counts as told [`TOLD`] after
 //! it could be reached. So a node that asks for changes, and one that did not reach it at all, asks again early enough for its
 //! turn to come within that time, and its next watch is a short one: it may be swallowed as the last call was.
+//!
+//! Where the operator states what a replica of discovery can send, [`Pace`] carries that, and [`Share`] gives the times.
 
 use crate::api::Settings;
+use crate::replicas::Capacity;
+use crate::share::Share;
 use std::time::Duration;
 
 /// The longest wait that a watch asks for. Each call costs discovery as much as dozens of entries, and a change ends the
@@ -23,6 +27,9 @@
 /// And the shortest. Between the two lies more than the time in which discovery can answer all nodes once: stated for the
 /// fleets that this node is run for is up to 8 s.
 const SHORTEST_WATCH: Duration = Duration::from_secs(10);
+/// The bounds of both where they are stretched: the protocol lets no call wait longer than 60 s.
+const STRETCHED_LONGEST: Duration = Duration::from_secs(60);
+const STRETCHED_SHORTEST: Duration = Duration::from_secs(30);
 /// So long after a wait is over what a watch would have told counts as told. Of the protocol.
 pub const COUNTED: Duration = Duration::from_secs(2);
 /// So long after discovery had it and could be reached a change counts as told to a node whose last call failed, was refused
@@ -101,6 +108,61 @@
     }
 }
 
+/// What a node paces its calls by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace {
+    /// What the settings say; `nodes` are those that ask one replica.
+    pub terms: Terms,
+    /// What one replica can do for them, where the operator states it.
+    pub share: Option<Share>,
+}
+
+impl From<Terms> for Pace {
+    fn from(terms: Terms) -> Self {
+        Self { terms, share: None }
+    }
+}
+
+impl Pace {
+    /// Of one of so many replicas that share the nodes. `list_lines` are those of the list that the node holds.
+    pub fn of(terms: Terms, replicas: usize, capacity: Option<Capacity>, list_lines: Option<u32>) -> Self {
+        let replicas = u32::try_from(replicas.max(1)).unwrap_or(u32::MAX);
+        let nodes = terms.nodes.div_ceil(replicas);
+        // An agent on the node's own machine has no capacity that nodes could share.
+        let capacity = capacity.filter(|_| terms.asked);
+        let share = capacity.map(|capacity| Share { nodes, capacity, list_lines });
+        Self { terms: Terms { nodes, ..terms }, share }
+    }
+
+    /// For so long at the least a replica that failed is left alone by the nodes whose first choice it is.
+    pub fn hold_down(self) -> Duration {
+        let capacity = Capacity { lines_per_second: 1.0, call_lines: CHANGES.as_secs_f64() };
+        let assumed = Share { nodes: self.terms.nodes, capacity, list_lines: None };
+        self.share.unwrap_or(assumed).hold_down()
+    }
+
+    /// How long the rest of an answer that has begun may take; `None` where that is no matter of its length.
+    pub fn sending(self, given_up: u32) -> Option<Duration> {
+        self.share.map(|share| share.list_allowance(given_up))
+    }
+
+    /// The shortest and the longest wait of a watch.
+    fn watches(self) -> (Duration, Duration) {
+        let Some(share) = self.share else { return (SHORTEST_WATCH, LONGEST_WATCH) };
+        let stretch = share.stretch((SHORTEST_WATCH + LONGEST_WATCH) / 2);
+        let stretched = |time: Duration, most: Duration| time.mul_f64(stretch.min(10.0)).min(most);
+        (stretched(SHORTEST_WATCH, STRETCHED_SHORTEST), stretched(LONGEST_WATCH, STRETCHED_LONGEST))
+    }
+
+    /// In this time discovery has answered the first calls of all nodes, if it has nothing to tell them.
+    fn first_calls(self) -> Duration {
+        match self.share {
+            Some(share) => LONGEST.max(share.all_calls()),
+            None => longest(CHANGES, self.terms.nodes),
+        }
+    }
+}
+
 /// A call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Call {
@@ -131,6 +193,32 @@
     Failed,
 }
 
+/// A call that failed, as far as the next pause goes by it.
+#[derive(Clone, Copy, Debug)]
+struct Failure {
+    /// Discovery was reached.
+    reached: bool,
+    /// It said that it has too much to do.
+    refused: bool,
+    /// The call was given up.
+    given_up: bool,
+    /// So long after the call.
+    took: Duration,
+}
+
+impl Failure {
+    /// `None` for a call that was answered.
+    fn of(call: Call, end: End) -> Option<Self> {
+        let failure = Self { reached: true, refused: false, given_up: false, took: Duration::ZERO };
+        match end {
+            End::Answered { .. } => None,
+            End::Overdue => Some(Self { given_up: true, took: call.limit, ..failure }),
+            End::Unreached { took } => Some(Self { reached: false, took, ..failure }),
+            End::Failed => Some(failure),
+        }
+    }
+}
+
 /// What is known of the calls so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Asking {
@@ -140,27 +228,75 @@
     unwaited: u32,
     /// A watch was dead, and nothing has been heard since.
     dead: bool,
+    /// Another replica is asked than the last that answered, and has not answered yet.
+    elsewhere: bool,
+    /// Calls for the full list that were given up, in a row.
+    given_up: u32,
+    /// For so long discovery was reached and gave no list.
+    refused_for: Duration,
 }
 
 impl Asking {
     /// The next call, for changes or for the whole list. `draw` is a random number from 0 to 1.
-    pub fn call(&self, terms: Terms, for_changes: bool, draw: f64) -> Call {
+    pub fn call(&self, pace: impl Into<Pace>, for_changes: bool, draw: f64) -> Call {
+        let pace = pace.into();
+        let terms = pace.terms;
         if !terms.asked {
             let wait = if for_changes { terms.part(AGENT_WATCH) } else { Duration::ZERO };
             return Call { wait, limit: wait + terms.part(AGENT_OVERDUE) };
         }
         if !for_changes {
-            return Call { wait: Duration::ZERO, limit: LIST };
+            return Call { wait: Duration::ZERO, limit: LIST + self.sending(pace).unwrap_or_default() };
         }
-        let drawn = SHORTEST_WATCH + (LONGEST_WATCH - SHORTEST_WATCH).mul_f64(part(draw));
+        let (shortest, longest) = pace.watches();
+        let drawn = shortest + (longest - shortest).mul_f64(part(draw));
         // Not sooner again than all nodes have had their turn: their first calls after a failure go before second ones.
-        let doubtful = self.dead || self.failures > 0;
-        let wait = if doubtful { drawn.min(longest(CHANGES, terms.nodes)) } else { drawn };
+        let doubtful = self.dead || self.elsewhere || self.failures > 0;
+        let wait = if doubtful { drawn.min(pace.first_calls()) } else { drawn };
         Call { wait, limit: wait + OVERDUE }
     }
 
+    /// How long the rest of an answer that has begun may take; `None` where no capacity is stated.
+    pub fn sending(&self, pace: impl Into<Pace>) -> Option<Duration> {
+        pace.into().sending(self.given_up)
+    }
+
+    /// The next call goes to another replica than the last that answered: what was swallowed here may be swallowed there.
+    pub fn goes_elsewhere(&mut self) {
+        self.elsewhere = true;
+    }
+
+    /// Takes in how this call ended where another replica is asked at once, without the pause of a back-off.
+    pub fn moved_on(&mut self, call: Call, end: End) {
+        if let Some(failure) = Failure::of(call, end).filter(|_| call.wait.is_zero()) {
+            self.note(failure);
+        }
+        self.goes_elsewhere();
+    }
+
+    /// Takes in that a call was answered with 503, so long after it was made, and gives the pause before the next one.
+    pub fn refused(
+        &mut self,
+        pace: impl Into<Pace>,
+        took: Duration,
+        for_changes: bool,
+        draw: f64,
+    ) -> Duration {
+        let failure = Failure { reached: true, refused: true, given_up: false, took };
+        self.failed(pace.into(), failure, for_changes, draw)
+    }
+
     /// Takes in how this call ended and gives the pause before the next one. `for_changes` is of the next.
-    pub fn ended(&mut self, terms: Terms, call: Call, end: End, for_changes: bool, draw: f64) -> Duration {
+    pub fn ended(
+        &mut self,
+        pace: impl Into<Pace>,
+        call: Call,
+        end: End,
+        for_changes: bool,
+        draw: f64,
+    ) -> Duration {
+        let pace = pace.into();
+        let terms = pace.terms;
         // A call that waits for nothing but its turn was given up because discovery has too much to do.
         let watch = !call.wait.is_zero();
         match end {
@@ -177,25 +313,60 @@
                 *self = Self { dead: true, ..Self::default() };
                 Duration::ZERO
             }
-            End::Overdue | End::Unreached { .. } | End::Failed => {
-                (self.failures, self.unwaited) = (self.failures.saturating_add(1), 0);
-                let nodes = if self.dead && self.failures <= URGENT { 1 } else { terms.nodes };
-                let (reached, took) = match end {
-                    End::Unreached { took } => (false, took),
-                    End::Overdue => (true, call.limit),
-                    _ => (true, Duration::ZERO),
-                };
-                // It may have come back right after this call set out. Whole lists are not asked for sooner than a discovery
-                // that refuses again and again may be able to send them: calls that fail would take what it has. One that is
-                // not reached loses nothing by being asked.
-                let soon = (TOLD - TURN).saturating_sub(took).max(STEP).min(terms.within * 2);
-                let bounded = for_changes || !reached || self.failures <= PATIENT;
-                let most = if bounded { soon } else { Duration::MAX };
-                self.pause(terms, self.failures, nodes, for_changes, draw, most)
-            }
+            End::Overdue | End::Unreached { .. } | End::Failed => match Failure::of(call, end) {
+                Some(failure) => self.failed(pace, failure, for_changes, draw),
+                None => Duration::ZERO,
+            },
         }
     }
 
+    /// The pause after a call that failed.
+    fn failed(&mut self, pace: Pace, failure: Failure, for_changes: bool, draw: f64) -> Duration {
+        (self.failures, self.unwaited) = (self.failures.saturating_add(1), 0);
+        self.note(failure);
+        let paced = self.paced(pace, failure, for_changes).map(|most| most.mul_f64(part(draw)));
+        let pause = paced.unwrap_or_else(|| self.back_off(pace.terms, failure, for_changes, draw));
+        if failure.reached {
+            self.refused_for = self.refused_for.saturating_add(pause);
+        }
+        pause
+    }
+
+    /// Counts what a call that failed tells of a busy discovery.
+    fn note(&mut self, failure: Failure) {
+        self.given_up = self.given_up.saturating_add(u32::from(failure.given_up));
+        // A discovery that is away has nothing to do yet when it comes back.
+        let before = if failure.reached { self.refused_for } else { Duration::ZERO };
+        self.refused_for = before.saturating_add(if failure.reached { failure.took } else { Duration::ZERO });
+    }
+
+    /// The upper end of the pause after a call that failed, where it goes by the capacity of a replica.
+    fn paced(&self, pace: Pace, failure: Failure, for_changes: bool) -> Option<Duration> {
+        let share = pace.share.filter(|_| failure.reached)?;
+        if !for_changes {
+            return Some(share.list_pause(self.refused_for));
+        }
+        share.changes_pause(TOLD - TURN).filter(|_| failure.refused && !self.is_urgent())
+    }
+
+    /// The pause after a call that failed, where it goes by the number of nodes.
+    fn back_off(&self, terms: Terms, failure: Failure, for_changes: bool, draw: f64) -> Duration {
+        let nodes = if self.is_urgent() { 1 } else { terms.nodes };
+        let lost = if failure.refused { Duration::ZERO } else { failure.took };
+        // It may have come back right after this call set out. Whole lists are not asked for sooner than a discovery
+        // that refuses again and again may be able to send them: calls that fail would take what it has. One that is
+        // not reached loses nothing by being asked.
+        let soon = (TOLD - TURN).saturating_sub(lost).max(STEP).min(terms.within * 2);
+        let bounded = for_changes || !failure.reached || self.failures <= PATIENT;
+        let most = if bounded { soon } else { Duration::MAX };
+        self.pause(terms, self.failures, nodes, for_changes, draw, most)
+    }
+
+    /// What a dead watch missed counts before long.
+    fn is_urgent(&self) -> bool {
+        self.dead && self.failures <= URGENT
+    }
+
     /// An agent is nobody else's, and is asked again soon. `most` bounds the step, not what is drawn of it: the nodes whose
     /// steps are longer would all come together at that bound.
     fn pause(
