Believe an older or empty list of replicas only when enough of them tell it

A replica that repeats itself proves nothing, and one that lags must not make a drained server ready again.

--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -5,6 +5,11 @@
 //! really shut down, and discoveries that lost their versions and count anew. Told so often in a row it is believed. Others
 //! do alike (Envoy's panic threshold, Eureka's self-preservation), with a share of the fleet as the bound; here a fleet that
 //! shrinks to a few in one list is taken at its word, since nothing new may go to a server that a list lacks.
+//!
+//! Where replicas of one service are asked, one that repeats itself proves nothing: an empty list takes three of them, or
+//! all where there are fewer, and an older one takes all of them. Any number below that may just lag behind, together, after
+//! a network that was parted; a replica that cannot be reached may be the one that has the newer list. The neighbours are
+//! asked for changes, as before: a full list for each node is more than they could send.
 
 use crate::api::Availability;
 use std::collections::{BTreeMap, BTreeSet};
@@ -70,6 +75,32 @@
     /// It was doubted, and is told again and again.
     #[error("{0}; taken, since it was told {BELIEVED} times in a row")]
     Believed(Doubt),
+    /// The same of several replicas.
+    #[error("{doubt}; taken, since {replicas} replicas told it and none another")]
+    BelievedOfReplicas {
+        /// Why it was doubted.
+        doubt: Doubt,
+        /// How many told it.
+        replicas: usize,
+    },
+}
+
+/// Who told a list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Teller<'a> {
+    /// The replica's name.
+    pub replica: &'a str,
+    /// How many replicas share the sequence of versions, this one included.
+    pub replicas: usize,
+}
+
+impl Teller<'_> {
+    /// One discovery that has no replicas.
+    pub const ONLY: Self = Self { replica: "", replicas: 1 };
+
+    fn has_neighbours(self) -> bool {
+        self.replicas > 1
+    }
 }
 
 /// What is known of the list, and of those that were doubted.
@@ -81,6 +112,12 @@
     ask_whole: bool,
     ready: BTreeSet<String>,
     doubted: u32,
+    /// The replicas that told a doubted list since one was taken.
+    doubted_by: BTreeSet<String>,
+    /// Older lists lack what was heeded of an answer that broke off.
+    least: Option<u64>,
+    /// Servers that were heeded as leaving, of which no list that was taken tells yet.
+    unconfirmed: BTreeSet<String>,
 }
 
 impl Membership {
@@ -99,41 +136,107 @@
         *self = Self::new(None, std::mem::take(&mut self.ready));
     }
 
+    /// Other replicas of the same service are asked from here on: the list held goes on, and who doubted it is forgotten.
+    pub fn replicas_changed(&mut self) {
+        self.doubted = 0;
+        self.doubted_by.clear();
+    }
+
     /// Something of an answer was heeded that was not taken: only the whole list tells whether it was so.
     pub fn heeded(&mut self) {
         self.ask_whole = true;
     }
 
-    /// Whether a list is taken, which then is the one held. Of changes to one server the last holds: they are told in order.
+    /// The same of one of several replicas, whose neighbours may have the list that it broke off: they are asked for changes.
+    /// `version` is that of the answer, as far as it could be read. Until a list as new as that is taken older ones are
+    /// doubted: they would make servers ready again that were told to be leaving.
+    pub fn heeded_from(&mut self, teller: Teller, version: Option<u64>, leaving: BTreeSet<String>) {
+        if !teller.has_neighbours() {
+            return self.heeded();
+        }
+        let next = self.held.map(|held| held.saturating_add(1));
+        self.least = self.least.max(next).max(version);
+        self.unconfirmed.extend(leaving);
+    }
+
+    /// How many servers of the list held are ready.
+    pub fn ready_count(&self) -> usize {
+        self.ready.len()
+    }
+
+    /// Whether this one is known to be ready.
+    pub fn is_ready(&self, name: &str) -> bool {
+        self.ready.contains(name)
+    }
+
+    /// [`Self::judge_from`] a discovery without replicas.
     pub fn judge(&mut self, seq: u64, whole: bool, hosts: &[Listed]) -> Result<Vec<Remark>, Doubt> {
+        self.judge_from(Teller::ONLY, seq, whole, hosts)
+    }
+
+    /// Whether a list is taken, which then is the one held. Of changes to one server the last holds: they are told in order.
+    pub fn judge_from(
+        &mut self,
+        teller: Teller,
+        seq: u64,
+        whole: bool,
+        hosts: &[Listed],
+    ) -> Result<Vec<Remark>, Doubt> {
         let mut remarks = Vec::new();
         if let Some(doubt) = self.doubt(seq, whole, hosts) {
-            let may_be_so = whole && matches!(doubt, Doubt::Empty { .. } | Doubt::Older { .. });
-            self.doubted += u32::from(may_be_so);
-            if !may_be_so || self.doubted < BELIEVED {
-                // The whole list tells what is so. A watch would not: a discovery that counts anew has nothing newer to tell
-                // until it has passed the version that is held.
-                self.ask_whole = true;
+            if !self.is_believed(teller, whole, &doubt) {
                 return Err(doubt);
             }
-            remarks.push(Remark::Believed(doubt));
+            remarks.push(if teller.has_neighbours() {
+                Remark::BelievedOfReplicas { doubt, replicas: self.doubted_by.len() }
+            } else {
+                Remark::Believed(doubt)
+            });
         }
-        (self.held, self.ask_whole, self.doubted) = (Some(seq), false, 0);
+        self.take(seq, whole, hosts);
+        remarks.extend(without_address(hosts));
+        Ok(remarks)
+    }
+
+    /// Counts a doubted list, says whether it is believed by now, and what is asked for next if it is not.
+    fn is_believed(&mut self, teller: Teller, whole: bool, doubt: &Doubt) -> bool {
+        let tellers = match doubt {
+            Doubt::Empty { .. } => teller.replicas.min(BELIEVED as usize),
+            Doubt::Older { .. } => teller.replicas,
+            Doubt::Twice { .. } | Doubt::NotWhole => usize::MAX,
+        };
+        let may_be_so = tellers < usize::MAX;
+        self.doubted = self.doubted.saturating_add(u32::from(whole && may_be_so));
+        if may_be_so {
+            self.doubted_by.insert(teller.replica.to_owned());
+        }
+        let by_enough = self.doubted_by.len() >= tellers;
+        if whole && self.doubted >= BELIEVED && by_enough {
+            return true;
+        }
+        // The whole list tells what is so. A watch would not: a discovery that counts anew has nothing newer to tell
+        // until it has passed the version that is held. A neighbour may well have.
+        self.ask_whole |= !teller.has_neighbours() || by_enough;
+        false
+    }
+
+    fn take(&mut self, seq: u64, whole: bool, hosts: &[Listed]) {
+        (self.held, self.ask_whole, self.doubted, self.least) = (Some(seq), false, 0, None);
+        self.doubted_by.clear();
         if whole {
             self.ready.clear();
+            self.unconfirmed.clear();
         }
-        for (at, host) in hosts.iter().enumerate() {
-            let ready = host.state == Availability::Ready;
-            if ready && !host.has_address {
-                remarks.push(Remark::NoAddress { at, name: host.name.to_owned() });
-            }
-            if ready && host.has_address {
+        for host in hosts {
+            self.unconfirmed.remove(host.name);
+            if host.state == Availability::Ready && host.has_address {
                 self.ready.insert(host.name.to_owned());
             } else {
                 self.ready.remove(host.name);
             }
         }
-        Ok(remarks)
+        // What was heeded was not so, or has been taken back: only the whole list tells.
+        self.ask_whole = !self.unconfirmed.is_empty();
     }
 
     fn doubt(&self, told: u64, whole: bool, hosts: &[Listed]) -> Option<Doubt> {
@@ -148,10 +251,17 @@
                 }
             }
         }
-        if let Some(held) = self.held.filter(|held| told < *held) {
+        if let Some(held) = self.held.max(self.least).filter(|held| told < *held) {
             return Some(Doubt::Older { told, held });
         }
         let known = self.ready.len();
         (whole && hosts.is_empty() && known > 0).then_some(Doubt::Empty { known })
     }
 }
+
+/// Ready servers that nobody can tell the way to.
+fn without_address<'a>(hosts: &'a [Listed]) -> impl Iterator<Item = Remark> + 'a {
+    let lost =
+        hosts.iter().enumerate().filter(|(_, host)| host.state == Availability::Ready && !host.has_address);
+    lost.map(|(at, host)| Remark::NoAddress { at, name: host.name.to_owned() })
+}
