Read a set of texts from a TOML file, each entry's fault with its place

A field may soon hold one address or a list of them. Table::parse_set reads both, keeps the order, and names each entry that is none, of another type or there already, all in one reading, as the other getters do.

--- a/crates/checked-toml/src/lib.rs
+++ b/crates/checked-toml/src/lib.rs
@@ -2,7 +2,7 @@
 //! them. A getter that meets a fault notes it and gives a stand-in, so that the reading goes on.
 
 use std::cell::RefCell;
-use std::collections::BTreeSet;
+use std::collections::{btree_map::Entry, BTreeMap, BTreeSet};
 use std::fmt::Display;
 use std::ops::RangeInclusive;
 use std::str::FromStr;
@@ -85,6 +85,10 @@
         }
     }
 
+    fn path_of_item(&self, name: &str, place: usize) -> String {
+        format!("{}[{place}]", self.path_of(name))
+    }
+
     fn get(&self, name: &'static str) -> Option<&'d Spanned<DeValue<'d>>> {
         self.known.borrow_mut().insert(name);
         self.table.get(name)
@@ -171,6 +175,47 @@
         })
     }
 
+    /// What one text is read as, or what each text of a list is, each once: one at least and `most` at the most.
+    pub fn parse_set<T: FromStr + Ord>(
+        &self,
+        name: &'static str,
+        expected: &str,
+        most: usize,
+    ) -> Option<Vec<T>> {
+        let value = self.get(name)?.get_ref();
+        let one_or_more = format!("{expected}, or a list of 1 to {most}");
+        let Some(items) = value.as_array() else {
+            return self.parse(name, &one_or_more).map(|only| vec![only]);
+        };
+        if !(1..=most).contains(&items.len()) {
+            self.fault(name, format!("expected {one_or_more}, found a list of {}", items.len()));
+            return None;
+        }
+        let mut first_places = BTreeMap::new();
+        for (place, item) in items.iter().enumerate() {
+            let read = item.get_ref().as_str().and_then(|text| text.parse::<T>().ok());
+            let problem = match read.map(|value| first_places.entry(value)) {
+                None => format!("expected {expected}, found {}", shown(item.get_ref())),
+                Some(Entry::Vacant(entry)) => {
+                    entry.insert(place);
+                    continue;
+                }
+                Some(Entry::Occupied(first)) => {
+                    let first = self.path_of_item(name, *first.get());
+                    let again = shown(item.get_ref());
+                    format!("expected each once, found {again} again, which stands at {first}")
+                }
+            };
+            self.document.fault(item.span().start, &self.path_of_item(name, place), problem);
+        }
+        if first_places.len() < items.len() {
+            return None;
+        }
+        let mut values: Vec<_> = first_places.into_iter().collect();
+        values.sort_unstable_by_key(|(_, place)| *place);
+        Some(values.into_iter().map(|(value, _)| value).collect())
+    }
+
     /// What `value` holds, which must be there.
     pub fn need<T: Default>(&self, name: &'static str, value: Option<T>) -> T {
         // One that is there and of no use is a fault already.
@@ -201,7 +246,7 @@
         };
         let mut read = Vec::new();
         for (i, item) in items.iter().enumerate() {
-            let path = format!("{}[{i}]", self.path_of(name));
+            let path = self.path_of_item(name, i);
             match item.get_ref() {
                 DeValue::Table(table) => read.push(self.below(path, item.span().start, table, &mut reading)),
                 other => {
