Name the replicas of a pool's discovery, and what each can send, in the configuration

A service of discovery that stands behind one address cannot carry thousands of nodes. The operator's file now takes one address or a list of 1 to 64 in `discovery`, with `discovery_lines_per_second` and `discovery_call_lines` for what each replica can send. They reach the client by the watch channel that carried the one address; until the client knows replicas it asks the first. A hand-over's state names the replicas, so that a watch goes on from its version when one of them is common; with one address the state is as it was, and older states are read. The platform's configuration still gives one address and no capacity.

--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -4,6 +4,7 @@
 pub mod platform;
 
 use crate::listing::Listing;
+use decide::replicas::Capacity;
 use decide::Settings;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -84,12 +85,37 @@
 }
 
 /// Where a pool's list comes from.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Source {
-    /// The platform's discovery, at this address.
-    Discovery(SocketAddr),
+    /// Discovery, at one address or at several replicas.
+    Discovery(DiscoveryReplicas),
     /// A file that is read again whenever it changes.
     File(PathBuf),
     /// The list is what it is.
     Fixed,
 }
+
+/// The replicas of one discovery service. They share one sequence of versions, though one may lag behind another.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DiscoveryReplicas {
+    /// 1 to [`DiscoveryReplicas::MOST`], each once. In ascending order, so that equal sets are equal.
+    pub addresses: Vec<SocketAddr>,
+    /// What each of them can send; `None` where nobody has stated it.
+    pub capacity: Option<Capacity>,
+}
+
+impl DiscoveryReplicas {
+    /// A service has no more replicas than this.
+    pub const MOST: usize = 64;
+
+    /// Of these addresses, in whatever order.
+    pub fn new(mut addresses: Vec<SocketAddr>, capacity: Option<Capacity>) -> Self {
+        addresses.sort_unstable();
+        Self { addresses, capacity }
+    }
+
+    /// A service at one address, of unknown capacity.
+    pub fn one(address: SocketAddr) -> Self {
+        Self { addresses: vec![address], capacity: None }
+    }
+}
--- a/crates/node/src/config/operator.rs
+++ b/crates/node/src/config/operator.rs
@@ -2,6 +2,8 @@
 //!
 //! All faults are found in one reading, each with its line and what was expected: serde would stop at the first one.
 
+mod discovery;
+
 use super::{Config, HandOver, Listener, Pool, Source, LEAST_DESCRIPTORS};
 use crate::listing::{Host, Listing};
 use checked_toml::{time_text, Document, Fault, Table};
@@ -203,7 +205,7 @@
 }
 
 fn pool(t: &Table, name: String, base: &Settings, folder: &Path) -> Pool {
-    let discovery = t.parse("discovery", "an address and port, such as \"127.0.0.1:7100\"");
+    let discovery = discovery::read(t);
     let file = t.text("file", "the path of a file", |path| !path.is_empty());
     let hosts = servers(t);
     let told = usize::from(t.has("discovery")) + usize::from(t.has("file")) + usize::from(t.has("server"));
@@ -297,7 +299,7 @@
     for pool in &config.pools {
         writeln!(text, "\n[[pool]]\nname = \"{}\"", pool.name)?;
         match &pool.source {
-            Source::Discovery(address) => writeln!(text, "discovery = \"{address}\"")?,
+            Source::Discovery(replicas) => discovery::write(text, replicas)?,
             Source::File(path) => writeln!(text, "file = {:?}", path.display().to_string())?,
             Source::Fixed => {}
         }
--- a/crates/node/src/config/platform.rs
+++ b/crates/node/src/config/platform.rs
@@ -1,6 +1,6 @@
 //! `LB_CONFIG` and the environment: what the platform tells its node.
 
-use super::{Config, Listener, Pool, Source, LEAST_DESCRIPTORS};
+use super::{Config, DiscoveryReplicas, Listener, Pool, Source, LEAST_DESCRIPTORS};
 use crate::listing::Listing;
 use decide::platform::{read_settings, PlatformError};
 use serde::Deserialize;
@@ -72,7 +72,7 @@
     }
     let pool = Pool {
         name: "pool".into(),
-        source: Source::Discovery(address(DISCOVERY, file.discovery)?),
+        source: Source::Discovery(DiscoveryReplicas::one(address(DISCOVERY, file.discovery)?)),
         known: file.known,
         settings,
     };
--- a/crates/node/src/daemon/change.rs
+++ b/crates/node/src/daemon/change.rs
@@ -1,8 +1,10 @@
 //! What a new configuration changes: which listeners and pools go on as they are, and the words for it.
 
-use crate::config::{Config, Source};
+use crate::config::{Config, DiscoveryReplicas, Pool, Source};
+use decide::replicas::Capacity;
 use decide::{Class, Settings};
 use std::fmt;
+use std::net::SocketAddr;
 
 /// What lies between the configuration held and the one wanted.
 #[derive(Debug, PartialEq, Eq)]
@@ -41,11 +43,8 @@
         came_and_went(&mut words, "pool", &self.pools, pools(held), pools(wanted));
         for (pool, place) in wanted.pools.iter().zip(&self.pools) {
             let Some(before) = place.map(|place| &held.pools[place]) else { continue };
-            if pool.source != before.source {
-                words.push(format!("pool {}: list from {}", pool.name, source(&pool.source)));
-            } else if pool.source == Source::Fixed && pool.known.hosts != before.known.hosts {
-                words.push(format!("pool {}: other servers", pool.name));
-            }
+            let changes = list_changes(before, pool);
+            words.extend(changes.into_iter().map(|change| format!("pool {}: {change}", pool.name)));
         }
         let (before, after) = (classes(held), classes(wanted));
         for (pool, class) in &after {
@@ -101,14 +100,47 @@
     words.extend(went.map(|(_, name)| format!("{what} {name} removed")));
 }
 
+/// What changed about where a pool's list comes from, and about the list itself where the file has it.
+fn list_changes(before: &Pool, after: &Pool) -> Vec<String> {
+    match (&before.source, &after.source) {
+        (Source::Discovery(before), Source::Discovery(after)) => discovery_changes(before, after),
+        (Source::Fixed, Source::Fixed) if before.known.hosts != after.known.hosts => {
+            vec!["other servers".into()]
+        }
+        (before, after) if before != after => vec![format!("list from {}", source(after))],
+        _ => Vec::new(),
+    }
+}
+
+fn discovery_changes(before: &DiscoveryReplicas, after: &DiscoveryReplicas) -> Vec<String> {
+    let mut changes = Vec::new();
+    if before.addresses != after.addresses {
+        changes.push(format!("list from discovery at {}", listed(&after.addresses)));
+    }
+    if before.capacity != after.capacity {
+        changes.push(match after.capacity {
+            Some(Capacity { lines_per_second, call_lines }) => {
+                format!("discovery of {lines_per_second} lines a second and {call_lines} a call")
+            }
+            None => "discovery of unknown capacity".into(),
+        });
+    }
+    changes
+}
+
 fn source(source: &Source) -> String {
     match source {
-        Source::Discovery(at) => format!("discovery at {at}"),
+        Source::Discovery(replicas) => format!("discovery at {}", listed(&replicas.addresses)),
         Source::File(path) => path.display().to_string(),
         Source::Fixed => "the file itself".into(),
     }
 }
 
+fn listed(addresses: &[SocketAddr]) -> String {
+    let addresses: Vec<_> = addresses.iter().map(ToString::to_string).collect();
+    addresses.join(", ")
+}
+
 /// All classes, each with the name of its pool.
 fn classes(config: &Config) -> Vec<(&str, &Class)> {
     let all = config.pools.iter();
--- a/crates/node/src/daemon/pools.rs
+++ b/crates/node/src/daemon/pools.rs
@@ -1,7 +1,7 @@
 //! The pools at work: for each a driver with decisions of its own, its connections, and whoever brings its list.
 
 use super::change::Change;
-use crate::config::{Config, Pool, Source};
+use crate::config::{Config, DiscoveryReplicas, Pool, Source};
 use crate::discovery::Discovery;
 use crate::driver::Driver;
 use crate::fronts::http1::{Class, Routes};
@@ -16,7 +16,6 @@
 use decide::membership::Membership;
 use decide::Balancer;
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::mpsc::{self, UnboundedSender};
 use tokio::sync::{oneshot, watch};
@@ -46,7 +45,7 @@
 
 /// Who brings the list.
 enum List {
-    Discovery(watch::Sender<SocketAddr>, AbortHandle),
+    Discovery(watch::Sender<DiscoveryReplicas>, AbortHandle),
     File(AbortHandle),
     Fixed,
 }
@@ -102,11 +101,7 @@
             // The driver only goes once it is retired.
             let _ = events.send(Input::Report(answer));
             let Ok((listing, knowledge)) = report.await else { continue };
-            let discovery = match pool.source {
-                Source::Discovery(at) => Some(at),
-                Source::File(_) | Source::Fixed => None,
-            };
-            reports.push(PoolState { name: pool.name.clone(), discovery, listing, knowledge });
+            reports.push(PoolState::new(&pool.name, &pool.source, listing, knowledge));
         }
         reports
     }
@@ -163,13 +158,13 @@
         spawn_local(Upstream::sweep(Rc::downgrade(&upstream)));
         // A watch goes on from the version that the other process had, if it was the same discovery's.
         let membership = match &recalled {
-            Some(other) if other.discovery.map(Source::Discovery).as_ref() == Some(&pool.source) => {
+            Some(other) if other.shares_versions_with(&pool.source) => {
                 Membership::new(Some(other.listing.seq), other.listing.ready())
             }
             _ => Membership::new((!known.hosts.is_empty()).then_some(known.seq), known.ready()),
         };
         let terms = Rc::new(Cell::new(Terms::of(settings)));
-        let list = List::begin(&pool.source, membership, seed, &terms, &events);
+        let list = List::begin(&self.node, &pool.source, membership, seed, &terms, &events);
         let balancer = Balancer::new(settings.clone(), seed);
         let tally = Tally::new(&self.node, &pool.name, self.tally.clone());
         let driver = Driver::new(balancer, upstream, has_servers, events.clone(), tally);
@@ -189,15 +184,16 @@
             let _ = running.events.send(Input::Reconfigured(Box::new(settings.clone())));
         }
         match (source, &running.list) {
-            (Source::Discovery(at), List::Discovery(held, _)) => {
-                // One that stays is not asked again: its watch is as good as it was.
-                held.send_if_modified(|held| std::mem::replace(held, *at) != *at);
+            (Source::Discovery(wanted), List::Discovery(held, _)) => {
+                // Replicas that stay are not asked again: a watch is as good as it was.
+                held.send_if_modified(|held| std::mem::replace(held, wanted.clone()) != *wanted);
             }
             _ if *source == before.source => {}
             _ => {
                 let seed = self.seed.wrapping_add(self.begun);
                 let membership = Membership::default();
-                running.list = List::begin(source, membership, seed, &running.terms, &running.events);
+                running.list =
+                    List::begin(&self.node, source, membership, seed, &running.terms, &running.events);
             }
         }
         if *source == Source::Fixed && (before.source != Source::Fixed || known.hosts != before.known.hosts) {
@@ -208,8 +204,9 @@
 }
 
 impl List {
-    /// `membership` knows what the driver holds of a discovery's list.
+    /// `membership` knows what the driver of this node's pool holds of a discovery's list.
     fn begin(
+        node: &str,
         source: &Source,
         membership: Membership,
         seed: u64,
@@ -217,12 +214,13 @@
         events: &UnboundedSender<Input>,
     ) -> Self {
         match source {
-            Source::Discovery(at) => {
+            Source::Discovery(replicas) => {
                 // Pools that lost one discovery together do not come back together either.
                 let random = fastrand::Rng::with_seed(seed);
-                let (sender, address) = watch::channel(*at);
+                let (sender, replicas) = watch::channel(replicas.clone());
                 let (terms, events) = (terms.clone(), events.clone());
-                let watching = Discovery { address, membership, terms, random, events };
+                let watching =
+                    Discovery { node: node.to_owned(), replicas, membership, terms, random, events };
                 Self::Discovery(sender, spawn_local(watching.run()).abort_handle())
             }
             Source::File(path) => {
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,5 +1,6 @@
 //! The client of discovery: the whole list, the watch on changes, backoff.
 
+use crate::config::DiscoveryReplicas;
 use crate::input::Input;
 use crate::listing::{Listing, Malformed};
 use crate::log::log;
@@ -64,8 +65,11 @@
 
 /// The client of discovery.
 pub struct Discovery {
+    /// The node that asks.
+    #[expect(dead_code, reason = "the order of replicas goes by it")]
+    pub node: String,
     /// Where it answers. A new address ends what was going on at the old one.
-    pub address: watch::Receiver<SocketAddr>,
+    pub replicas: watch::Receiver<DiscoveryReplicas>,
     /// Judges what it tells.
     pub membership: Membership,
     /// What the settings say of asking by now.
@@ -79,13 +83,13 @@
     /// anything to a node that does not call. A new address starts anew at once, from the whole list: versions of the old
     /// one mean nothing there, and the node serves from the list it holds until that has come.
     pub async fn run(mut self) {
-        let mut address = self.address.clone();
+        let mut replicas = self.replicas.clone();
         loop {
-            let at = *address.borrow_and_update();
+            let Some(at) = replicas.borrow_and_update().addresses.first().copied() else { return };
             tokio::select! {
                 // All that belongs to the old address goes with this future: its link, watch and backoff.
                 () = self.watch_at(at) => return,
-                moved = address.changed() => if moved.is_err() { return },
+                moved = replicas.changed() => if moved.is_err() { return },
             }
             self.membership.moved();
         }
--- a/crates/node/src/handover/mod.rs
+++ b/crates/node/src/handover/mod.rs
@@ -4,62 +4,17 @@
 mod giver;
 mod link;
 mod other;
+mod state;
 mod successor;
 mod taker;
 
 pub use giver::Giver;
+pub use state::{PoolState, State};
 pub use successor::{program, Successor};
 pub use taker::{Taking, Word};
 
-use crate::listing::Listing;
-use decide::Knowledge;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
-use thiserror::Error;
-
-/// The version of [`State`] that this program writes, and the only one that it reads.
-const STATE_VERSION: u64 = 1;
-
-/// What a node knows, pool by pool.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct State {
-    version: u64,
-    pub pools: Vec<PoolState>,
-}
-
-/// What is known of one pool.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct PoolState {
-    pub name: String,
-    /// Whose list it is: versions of it mean nothing at another discovery.
-    pub discovery: Option<SocketAddr>,
-    pub listing: Listing,
-    pub knowledge: Knowledge,
-}
-
-/// Why a state is of no use. The node starts without.
-#[derive(Debug, Error)]
-pub enum StateError {
-    #[error("expected a state of version {STATE_VERSION}, found {0}")]
-    Version(u64),
-    #[error("expected a state of version {STATE_VERSION}: {0}")]
-    Unreadable(#[from] serde_json::Error),
-}
-
-impl State {
-    /// Of these pools.
-    pub fn new(pools: Vec<PoolState>) -> Self {
-        Self { version: STATE_VERSION, pools }
-    }
-
-    /// Reads one. The version is looked at first: what else another version holds may be anything.
-    fn read(value: serde_json::Value) -> Result<Self, StateError> {
-        match value.get("version").and_then(serde_json::Value::as_u64) {
-            Some(STATE_VERSION) | None => Ok(serde_json::from_value(value)?),
-            Some(other) => Err(StateError::Version(other)),
-        }
-    }
-}
 
 /// What the giver offers.
 #[derive(Debug, Serialize, Deserialize)]
