Play reloads of replicas against a model of sets; read states of the version before

Replicas come and go by reloads, and a client that hears of a change that is none would end its watch for nothing. Random sequences of reloads of two pools (replicas added, removed, reordered, a capacity stated or taken away, pools in the other order, faulty files among them) go through Change and Pools and are compared with sets: clients and log hear of what changed and of nothing else. A hand-over's state is read as the version before wrote it, one address is written as before, and versions are good while one replica is common. What is written of replicas is read back as the same.

--- a/crates/node/src/config/operator/discovery.rs
+++ b/crates/node/src/config/operator/discovery.rs
@@ -53,3 +53,6 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/daemon/change.rs
+++ b/crates/node/src/daemon/change.rs
@@ -160,6 +160,7 @@
 
     const POOL: &str = "[[pool]]\nname = \"p\"\ndiscovery = \"127.0.0.1:1\"\n";
     const CLASS: &str = "[[class]]\nname = \"a\"\n";
+    const CAPACITY: &str = "discovery_lines_per_second = 200\ndiscovery_call_lines = 2.5\n";
 
     fn config(text: &str) -> Config {
         let text = format!("version = 1\nnodes = 3\nseed = 1\n{text}");
@@ -207,6 +208,7 @@
         let server = |name: &str| {
             format!("[[pool]]\nname = \"p\"\n[[pool.server]]\nname = \"{name}\"\naddress = \"127.0.0.1:9\"\n")
         };
+        let replicas = |list: &str| format!("[[pool]]\nname = \"p\"\ndiscovery = [{list}]\n");
         let good = format!("{POOL}{CLASS}");
         let cases = [
             (
@@ -214,6 +216,28 @@
                 format!("{}{CLASS}", POOL.replace(":1\"", ":2\"")),
                 "pool p: list from discovery at 127.0.0.1:2",
             ),
+            (good.clone(), format!("{}{CLASS}", replicas("\"127.0.0.1:1\"")), "nothing changed"),
+            (
+                good.clone(),
+                format!("{}{CLASS}", replicas("\"127.0.0.1:2\", \"127.0.0.1:1\"")),
+                "pool p: list from discovery at 127.0.0.1:1, 127.0.0.1:2",
+            ),
+            (
+                format!("{}{CLASS}", replicas("\"127.0.0.1:2\", \"127.0.0.1:1\"")),
+                format!("{}{CLASS}", replicas("\"127.0.0.1:1\", \"127.0.0.1:2\"")),
+                "nothing changed",
+            ),
+            (
+                good.clone(),
+                format!("{POOL}{CAPACITY}{CLASS}"),
+                "pool p: discovery of 200 lines a second and 2.5 a call",
+            ),
+            (format!("{POOL}{CAPACITY}{CLASS}"), good.clone(), "pool p: discovery of unknown capacity"),
+            (
+                format!("{}{CLASS}", server("s")),
+                format!("{POOL}{CAPACITY}{CLASS}"),
+                "pool p: list from discovery at 127.0.0.1:1",
+            ),
             (good.clone(), format!("[[pool]]\nname = \"p\"\nfile = \"/x\"\n{CLASS}"), "pool p: list from /x"),
             (good.clone(), format!("{}{CLASS}", server("s")), "pool p: list from the file itself"),
             (format!("{}{CLASS}", server("s")), format!("{}{CLASS}", server("t")), "pool p: other servers"),
--- a/crates/node/src/daemon/pools.rs
+++ b/crates/node/src/daemon/pools.rs
@@ -230,3 +230,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/node/src/daemon/pools/tests.rs
@@ -0,0 +1,208 @@
+use super::*;
+use crate::config::operator;
+use decide::replicas::Capacity;
+use proptest::prelude::*;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::Path;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// Ports of the replicas that a file may name.
+const PORTS: std::ops::RangeInclusive<u16> = 1..=6;
+const POOLS: [&str; 2] = ["p", "q"];
+
+/// What a file says of one pool's discovery: ports in the file's order, and whether capacity is stated.
+#[derive(Clone, Debug)]
+struct Wanted {
+    ports: Vec<u16>,
+    capacity: Option<Capacity>,
+}
+
+impl Wanted {
+    fn replicas(&self) -> DiscoveryReplicas {
+        let addresses = self.ports.iter().map(|port| SocketAddr::from(([127, 0, 0, 1], *port)));
+        DiscoveryReplicas::new(addresses.collect(), self.capacity)
+    }
+
+    /// Names of no replica, or of one twice, are faults.
+    fn is_faulty(&self) -> bool {
+        let once: BTreeSet<_> = self.ports.iter().collect();
+        once.is_empty() || once.len() < self.ports.len()
+    }
+
+    fn text(&self, name: &str) -> String {
+        let addresses: Vec<_> = self.ports.iter().map(|port| format!("\"127.0.0.1:{port}\"")).collect();
+        let mut text = format!("[[pool]]\nname = \"{name}\"\ndiscovery = [{}]\n", addresses.join(", "));
+        if let Some(Capacity { lines_per_second, call_lines }) = self.capacity {
+            text += &format!("discovery_lines_per_second = {lines_per_second:?}\n");
+            text += &format!("discovery_call_lines = {call_lines:?}\n");
+        }
+        text
+    }
+}
+
+/// A file: what it says of each pool, and whether it names the pools in the other order.
+#[derive(Clone, Debug)]
+struct File {
+    pools: [Wanted; POOLS.len()],
+    backwards: bool,
+}
+
+impl File {
+    fn read(&self) -> Result<Config, operator::FileError> {
+        let mut pools: Vec<_> =
+            self.pools.iter().zip(POOLS).map(|(wanted, name)| wanted.text(name)).collect();
+        if self.backwards {
+            pools.reverse();
+        }
+        let text =
+            format!("version = 1\nseed = 1\n{}[[class]]\nname = \"a\"\npool = \"p\"\n", pools.concat());
+        operator::read("pinhead.toml", &text, Path::new("/"))
+    }
+}
+
+fn wanted() -> impl Strategy<Value = Wanted> {
+    // Mostly without fault; the list may name one twice.
+    let ports = prop_oneof![
+        8 => proptest::sample::subsequence(PORTS.collect::<Vec<_>>(), 1..=6).prop_shuffle(),
+        1 => proptest::collection::vec(PORTS, 0..=3),
+    ];
+    let capacity = proptest::sample::select(vec![
+        None,
+        Some(Capacity { lines_per_second: 200.0, call_lines: 10.0 }),
+        Some(Capacity { lines_per_second: 400.0, call_lines: 10.0 }),
+    ]);
+    (ports, capacity).prop_map(|(ports, capacity)| Wanted { ports, capacity })
+}
+
+fn files() -> impl Strategy<Value = Vec<File>> {
+    let file = ([wanted(), wanted()], any::<bool>()).prop_map(|(pools, backwards)| File { pools, backwards });
+    proptest::collection::vec(file, 1..20)
+}
+
+/// The ends of a pool that its client and its driver hold.
+struct Ends {
+    replicas: watch::Receiver<DiscoveryReplicas>,
+    inputs: UnboundedReceiver<Input>,
+    client: AbortHandle,
+}
+
+/// A pool at work whose client asks nobody.
+fn running(pool: &Pool) -> (Running, Ends) {
+    let Source::Discovery(replicas) = &pool.source else { panic!("expected discovery") };
+    let (sender, replicas) = watch::channel(replicas.clone());
+    let client = tokio::spawn(std::future::pending::<()>()).abort_handle();
+    let (events, inputs) = mpsc::unbounded_channel();
+    let running = Running {
+        pool: pool.clone(),
+        events,
+        ready: watch::channel(false).1,
+        list: List::Discovery(sender, client.clone()),
+        terms: Rc::new(Cell::new(Terms::of(&pool.settings))),
+    };
+    (running, Ends { replicas, inputs, client })
+}
+
+/// The pools of this configuration, and their ends in the order of [`POOLS`].
+fn pools(config: &Config) -> (Pools, Vec<Ends>) {
+    let (running, ends): (Vec<_>, Vec<_>) = config.pools.iter().map(running).unzip();
+    let pools = Pools {
+        running,
+        places: Rc::new(Places::new(1)),
+        node: config.name.clone(),
+        tally: Rc::default(),
+        seed: config.seed,
+        begun: POOLS.len() as u64,
+    };
+    (pools, ends)
+}
+
+/// What the log has to say of a pool, by a comparison of sets.
+fn expected_words(name: &str, held: &DiscoveryReplicas, wanted: &DiscoveryReplicas) -> Vec<String> {
+    let set = |replicas: &DiscoveryReplicas| replicas.addresses.iter().copied().collect::<BTreeSet<_>>();
+    let mut words = Vec::new();
+    if set(held) != set(wanted) {
+        let addresses: Vec<_> = set(wanted).iter().map(ToString::to_string).collect();
+        words.push(format!("pool {name}: list from discovery at {}", addresses.join(", ")));
+    }
+    if held.capacity != wanted.capacity {
+        words.push(match wanted.capacity {
+            Some(Capacity { lines_per_second, .. }) => {
+                format!("pool {name}: discovery of {lines_per_second} lines a second and 10 a call")
+            }
+            None => format!("pool {name}: discovery of unknown capacity"),
+        });
+    }
+    words
+}
+
+/// Reloads these files one after the other, and compares what clients and log hear with a model of sets.
+async fn reload_each(files: Vec<File>) -> Result<(), TestCaseError> {
+    let first = File {
+        pools: [(); POOLS.len()].map(|()| Wanted { ports: vec![1], capacity: None }),
+        backwards: false,
+    };
+    let mut held = first.read().expect("a file without fault");
+    let mut model = first.pools.map(|wanted| wanted.replicas());
+    let (mut pools, mut ends) = pools(&held);
+    for file in files {
+        let read = file.read();
+        prop_assert_eq!(read.is_err(), file.pools.iter().any(Wanted::is_faulty));
+        if let Ok(config) = read {
+            let change = Change::between(&held, &config);
+            let mut words = Vec::new();
+            let mut order: Vec<_> = file.pools.iter().zip(POOLS).zip(&model).collect();
+            if file.backwards {
+                order.reverse();
+            }
+            for ((wanted, name), model) in order {
+                words.extend(expected_words(name, model, &wanted.replicas()));
+            }
+            let words = if words.is_empty() { "nothing changed".to_owned() } else { words.join(", ") };
+            prop_assert_eq!(change.to_string(), words);
+            pools.change(&change, &config);
+            held = config;
+            let before = std::mem::replace(&mut model, file.pools.map(|wanted| wanted.replicas()));
+            for (ends, (before, after)) in ends.iter().zip(before.iter().zip(&model)) {
+                prop_assert_eq!(ends.replicas.has_changed().ok(), Some(before != after));
+            }
+        }
+        for (ends, model) in ends.iter_mut().zip(&model) {
+            prop_assert_eq!(&*ends.replicas.borrow_and_update(), model);
+            prop_assert!(!ends.client.is_finished());
+            // Its driver hears of settings and of lists, and neither has changed.
+            prop_assert!(ends.inputs.try_recv().is_err());
+        }
+        let names: Vec<_> = pools.running.iter().map(|running| running.pool.name.as_str()).collect();
+        let expected: Vec<_> = held.pools.iter().map(|pool| pool.name.as_str()).collect();
+        prop_assert_eq!(names, expected);
+    }
+    Ok(())
+}
+
+proptest! {
+    // Guards against a watch that is ended by a reload that says the same, and against replicas that the client never hears of.
+    #[test]
+    fn clients_and_log_hear_of_other_replicas_and_capacities_and_of_nothing_else(files in files()) {
+        let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+        runtime.block_on(reload_each(files))?;
+    }
+}
+
+#[tokio::test]
+async fn a_pool_that_is_removed_takes_its_client_with_it() {
+    let file = File {
+        pools: [(); POOLS.len()].map(|()| Wanted { ports: vec![1, 2], capacity: None }),
+        backwards: false,
+    };
+    let held = file.read().expect("a file without fault");
+    let (mut pools, mut ends) = pools(&held);
+    let mut wanted = held.clone();
+    wanted.pools.truncate(1);
+    pools.change(&Change::between(&held, &wanted), &wanted);
+    // An aborted task ends when it is looked at next.
+    tokio::task::yield_now().await;
+    assert_eq!([ends[0].client.is_finished(), ends[1].client.is_finished()], [false, true]);
+    assert!(matches!(ends[1].inputs.try_recv(), Ok(Input::Retired)));
+    assert!(ends[1].replicas.has_changed().is_err(), "nobody tells it of replicas any more");
+}
--- a/crates/node/src/handover/state.rs
+++ b/crates/node/src/handover/state.rs
@@ -74,3 +74,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/node/src/handover/state/tests.rs
@@ -0,0 +1,106 @@
+use super::*;
+use decide::replicas::Capacity;
+use serde_json::{json, Value};
+
+fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+fn replicas(ports: &[u16]) -> Source {
+    let addresses = ports.iter().map(|port| address(*port)).collect();
+    Source::Discovery(DiscoveryReplicas::new(addresses, None))
+}
+
+fn pool(source: &Source) -> PoolState {
+    PoolState::new("p", source, Listing::default(), Knowledge::default())
+}
+
+/// What is known of a pool, as it goes over the link.
+fn written(source: &Source) -> Value {
+    let state = serde_json::to_value(State::new(vec![pool(source)])).expect("JSON of a state");
+    state["pools"][0].clone()
+}
+
+/// The pool of a state whose JSON has these fields beside those that every version writes.
+fn read(fields: Value) -> PoolState {
+    let mut pool = json!({
+        "name": "p",
+        "listing": {"seq": 7, "whole": true, "hosts": []},
+        "knowledge": Knowledge::default(),
+    });
+    let fields = fields.as_object().expect("fields").clone();
+    pool.as_object_mut().expect("a pool").extend(fields);
+    let mut state = State::read(json!({"version": STATE_VERSION, "pools": [pool]})).expect("a state");
+    assert_eq!(state.pools.len(), 1);
+    state.pools.remove(0)
+}
+
+#[test]
+fn a_state_of_the_version_before_is_read_and_its_one_address_is_compared() {
+    let of_one = read(json!({"discovery": "127.0.0.1:1"}));
+    assert_eq!(of_one.listing.seq, 7);
+    assert!(of_one.shares_versions_with(&replicas(&[1])));
+    assert!(of_one.shares_versions_with(&replicas(&[1, 2])));
+    assert!(!of_one.shares_versions_with(&replicas(&[2])));
+    let of_a_file = read(json!({"discovery": null}));
+    assert!(!of_a_file.shares_versions_with(&replicas(&[1])));
+    assert!(!of_a_file.shares_versions_with(&Source::Fixed));
+}
+
+// Guards against a state that the version before cannot read: the node would forget its list and its breakers.
+#[test]
+fn what_is_written_of_one_address_is_what_the_version_before_wrote() {
+    let one = written(&replicas(&[1]));
+    assert_eq!(one["discovery"], "127.0.0.1:1");
+    assert_eq!(one.get("replicas"), None);
+    let file = written(&Source::File("boxes.toml".into()));
+    assert_eq!((&file["discovery"], file.get("replicas")), (&Value::Null, None));
+}
+
+#[test]
+fn of_several_replicas_all_are_written_and_the_version_before_finds_no_address() {
+    let several = written(&replicas(&[2, 1]));
+    assert_eq!(several["discovery"], Value::Null);
+    assert_eq!(several["replicas"], json!(["127.0.0.1:1", "127.0.0.1:2"]));
+}
+
+#[test]
+fn versions_stay_good_while_one_replica_is_common() {
+    let cases: [(&[u16], &[u16], bool); 7] = [
+        (&[1], &[1], true),
+        (&[1, 2], &[2, 1], true),
+        (&[1, 2], &[2, 3], true),
+        (&[1, 2], &[2], true),
+        (&[1], &[1, 2, 3], true),
+        (&[1, 2], &[3, 4], false),
+        (&[1], &[2], false),
+    ];
+    for (before, after, common) in cases {
+        let state = serde_json::to_value(State::new(vec![pool(&replicas(before))])).expect("JSON of a state");
+        let state = State::read(state).expect("a state");
+        assert_eq!(state.pools[0].shares_versions_with(&replicas(after)), common, "{before:?} {after:?}");
+    }
+}
+
+#[test]
+fn capacity_does_not_tell_one_discovery_from_another() {
+    let capacity = Some(Capacity { lines_per_second: 200.0, call_lines: 10.0 });
+    let stated = Source::Discovery(DiscoveryReplicas::new(vec![address(1)], capacity));
+    assert!(pool(&stated).shares_versions_with(&replicas(&[1])));
+    assert!(pool(&replicas(&[1])).shares_versions_with(&stated));
+}
+
+#[test]
+fn replicas_of_no_use_make_a_state_that_is_not_read() {
+    let state = |replicas: Value| {
+        let pool = json!({
+            "name": "p", "discovery": null, "replicas": replicas,
+            "listing": {"seq": 7, "whole": true, "hosts": []}, "knowledge": Knowledge::default(),
+        });
+        State::read(json!({"version": STATE_VERSION, "pools": [pool]}))
+    };
+    assert!(state(json!(["127.0.0.1:1"])).is_ok());
+    for bad in [json!(["x"]), json!("127.0.0.1:1"), json!([1])] {
+        assert!(matches!(state(bad.clone()), Err(StateError::Unreadable(_))), "{bad}");
+    }
+}
