--- /dev/null
+++ b/crates/node/tests/operator_replicas.rs
@@ -0,0 +1,209 @@
+//! The replicas of a pool's discovery in an operator's file: what is a fault, what holds, and what a reload changes.
+
+mod common;
+
+use common::{command, run, wait_for, CacheServer, Discovery, Folder, Node};
+use std::net::SocketAddr;
+
+const CLASS: &str = "[[class]]\nname = \"read\"\neffect = \"safe\"\naim = \"5s\"\ndeadline = \"20s\"\n";
+const CLIENTS: &str = "[[listener]]\nname = \"clients\"\naddress = \"127.0.0.1:0\"\n";
+const CAPACITY: &str = "discovery_lines_per_second = 200\ndiscovery_call_lines = 10\n";
+/// As many replicas as a pool may name.
+const MOST: u16 = 64;
+
+/// A file whose one pool, from line 4 on, has these lines.
+fn file(lines: &str) -> String {
+    format!("version = 1\n[[pool]]\nname = \"p\"\n{lines}{CLASS}{CLIENTS}")
+}
+
+/// A `discovery` that names these addresses, each on a line of its own.
+fn list(addresses: &[impl std::fmt::Display]) -> String {
+    let addresses: Vec<_> = addresses.iter().map(|address| format!("\"{address}\"")).collect();
+    format!("discovery = [\n{}]\n", addresses.join(",\n"))
+}
+
+fn loopback(ports: impl IntoIterator<Item = u16>) -> Vec<SocketAddr> {
+    ports.into_iter().map(|port| ([127, 0, 0, 1], port).into()).collect()
+}
+
+/// What `check` says of a file with these lines in its pool: what holds, or the faults.
+fn check(lines: &str) -> Result<String, Vec<String>> {
+    check_text(&file(lines))
+}
+
+fn check_text(text: &str) -> Result<String, Vec<String>> {
+    let folder = Folder::new();
+    let path = folder.write("bad.toml", text);
+    let checked = command().arg("check").arg(&path).output().unwrap();
+    if checked.status.success() {
+        return Ok(String::from_utf8(checked.stdout).unwrap());
+    }
+    assert_eq!((checked.status.code(), checked.stdout.len()), (Some(2), 0), "{text}");
+    let place = format!("{}/", folder.0.display());
+    let faults = String::from_utf8(checked.stderr).unwrap();
+    Err(faults.lines().map(|line| line.replacen(&place, "", 1)).collect())
+}
+
+#[test]
+fn what_holds_is_a_file_that_says_the_same() {
+    let many = loopback(1..=MOST);
+    for lines in [
+        "discovery = \"127.0.0.1:1\"\n".to_owned(),
+        format!("discovery = \"127.0.0.1:1\"\n{CAPACITY}"),
+        list(&["127.0.0.1:2", "[::1]:1"]),
+        format!("{}{CAPACITY}", list(&["127.0.0.1:2", "127.0.0.1:1"])),
+        format!("{}discovery_lines_per_second = 1.5e3\ndiscovery_call_lines = 0.25\n", list(&many)),
+    ] {
+        let effective = check(&lines).expect("a file without fault");
+        assert_eq!(check_text(&effective).as_ref(), Ok(&effective), "{lines}");
+    }
+}
+
+#[test]
+fn what_holds_names_every_replica_and_the_capacity() {
+    let effective = check(&format!("{}{CAPACITY}", list(&["127.0.0.1:2", "127.0.0.1:1"]))).unwrap();
+    let expected = "discovery = [\n    \"127.0.0.1:1\",\n    \"127.0.0.1:2\",\n]\n\
+                    discovery_lines_per_second = 200.0\ndiscovery_call_lines = 10.0\n";
+    assert!(effective.contains(expected), "{effective}");
+}
+
+#[test]
+fn a_list_of_one_says_what_one_address_says() {
+    let one = check("discovery = \"127.0.0.1:1\"\n").unwrap();
+    assert!(one.contains("\ndiscovery = \"127.0.0.1:1\"\n"), "{one}");
+    assert!(!one.contains("discovery_"), "{one}");
+    assert_eq!(check(&list(&["127.0.0.1:1"])), Ok(one));
+}
+
+#[test]
+fn each_fault_has_its_line_its_field_and_what_was_expected() {
+    let one = "discovery = \"127.0.0.1:1\"\n";
+    let or_list = "expected an address and port, such as \"127.0.0.1:7100\", or a list of 1 to 64, found";
+    let entry = "expected an address and port, such as \"127.0.0.1:7100\", found";
+    let lines_range = "discovery_lines_per_second: expected a number from 1 to 100000000, found";
+    let call_range = "discovery_call_lines: expected a number from 0.01 to 1000000, found";
+    let lines =
+        |value: &str| format!("{one}discovery_lines_per_second = {value}\ndiscovery_call_lines = 10\n");
+    let call =
+        |value: &str| format!("{one}discovery_lines_per_second = 200\ndiscovery_call_lines = {value}\n");
+    let mut cases = vec![
+        ("discovery = []\n".to_owned(), format!("4: pool[0].discovery: {or_list} a list of 0")),
+        (list(&loopback(1..=MOST + 1)), format!("4: pool[0].discovery: {or_list} a list of 65")),
+        ("discovery = 7100\n".to_owned(), format!("4: pool[0].discovery: {or_list} 7100")),
+        ("discovery = \"localhost\"\n".to_owned(), format!("4: pool[0].discovery: {or_list} \"localhost\"")),
+        (list(&["127.0.0.1:1", "127.0.0.1"]), format!("6: pool[0].discovery[1]: {entry} \"127.0.0.1\"")),
+        ("discovery = [\"127.0.0.1:1\",\n7]\n".to_owned(), format!("5: pool[0].discovery[1]: {entry} 7")),
+        (
+            list(&["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:1"]),
+            "7: pool[0].discovery[2]: expected each once, found \"127.0.0.1:1\" again, which stands at \
+             pool[0].discovery[0]"
+                .to_owned(),
+        ),
+        (
+            format!("{one}discovery_lines_per_second = 200\n"),
+            "5: pool[0].discovery_lines_per_second: expected discovery_call_lines beside it".to_owned(),
+        ),
+        (
+            format!("{one}discovery_call_lines = 10\n"),
+            "5: pool[0].discovery_call_lines: expected discovery_lines_per_second beside it".to_owned(),
+        ),
+        (lines("0.99"), format!("5: pool[0].{lines_range} 0.99")),
+        (lines("100000001"), format!("5: pool[0].{lines_range} 100000001")),
+        (call("0.009"), format!("6: pool[0].{call_range} 0.009")),
+        (call("1000001"), format!("6: pool[0].{call_range} 1000001")),
+    ];
+    for bad in ["0", "0.0", "-200", "-0.5", "nan", "inf", "-inf", "1e400", "\"200\"", "true"] {
+        cases.push((lines(bad), format!("5: pool[0].{lines_range} {bad}")));
+        cases.push((call(bad), format!("6: pool[0].{call_range} {bad}")));
+    }
+    for (lines, expected) in cases {
+        assert_eq!(check(&lines), Err(vec![format!("bad.toml:{expected}")]), "{lines}");
+    }
+}
+
+#[test]
+fn the_ends_of_each_range_are_in_it() {
+    for (lines, call) in [("1", "0.01"), ("100000000", "1000000")] {
+        let capacity = format!("discovery_lines_per_second = {lines}\ndiscovery_call_lines = {call}\n");
+        assert!(check(&format!("discovery = \"127.0.0.1:1\"\n{capacity}")).is_ok(), "{capacity}");
+    }
+}
+
+#[test]
+fn capacity_without_discovery_is_a_fault_of_each_of_its_fields() {
+    let found = check(&format!("file = \"boxes.toml\"\n{CAPACITY}"));
+    let fault =
+        |line: u32, key: &str| format!("bad.toml:{line}: pool[0].{key}: expected discovery beside it");
+    assert_eq!(found, Err(vec![fault(5, "discovery_lines_per_second"), fault(6, "discovery_call_lines")]));
+}
+
+#[test]
+fn all_faults_of_replicas_come_in_one_reading_with_those_of_the_rest() {
+    let lines =
+        "discovery = [\n\"x\",\n\"127.0.0.1:1\",\n\"127.0.0.1:1\",\n7]\ndiscovery_call_lines = 0\nodd = 1\n";
+    let found = check(lines).expect_err("faults");
+    let fields: Vec<_> = found.iter().filter_map(|fault| fault.split(": ").nth(1)).collect();
+    let expected =
+        ["discovery[0]", "discovery[2]", "discovery[3]", "discovery_call_lines", "discovery_call_lines"];
+    let expected: Vec<_> =
+        expected.into_iter().chain(["odd"]).map(|field| format!("pool[0].{field}")).collect();
+    assert_eq!(fields, expected, "{found:#?}");
+}
+
+/// A node that follows these replicas, and has been told their list.
+fn following(folder: &Folder, discovery: &Discovery, lines: &str) -> Node {
+    let node = run(folder, &file(lines));
+    discovery.wait_until_told(1);
+    node
+}
+
+// Guards against half of a file that cannot be used being taken.
+#[test]
+fn a_faulty_reload_leaves_the_node_with_its_replicas_and_the_log_names_the_fault() {
+    let (server, other) = (CacheServer::serving("a"), CacheServer::serving("b"));
+    let discovery = Discovery::start(&[server.entry("a", "ready")]);
+    let elsewhere = Discovery::start(&[other.entry("b", "ready")]);
+    let folder = Folder::new();
+    let node = following(&folder, &discovery, &list(&[discovery.address]));
+    let calls = discovery.calls();
+    let twice = list(&[elsewhere.address, elsewhere.address]);
+    let faulty = [
+        (twice, "pinhead.toml:6: pool[0].discovery[1]: expected each once"),
+        ("discovery = []\n".to_owned(), "pinhead.toml:4: pool[0].discovery: expected an address and port"),
+        (
+            format!("{}discovery_call_lines = 1\n", list(&[elsewhere.address])),
+            "pool[0].discovery_call_lines: expected discovery_lines_per_second beside it",
+        ),
+    ];
+    for (number, (lines, why)) in faulty.iter().enumerate() {
+        node.reconfigure(&file(lines));
+        assert_eq!(node.said("configuration not taken: "), number + 1, "{lines}");
+        assert_eq!(node.said(why), 1, "{why}: {:?}", node.log.lock().unwrap());
+    }
+    assert_eq!((discovery.calls(), elsewhere.calls()), (calls, 0));
+    // The watch that was out is heard still.
+    discovery.tell(true, &[other.entry("b", "ready")]);
+    discovery.wait_until_told(2);
+    assert_eq!(node.read("read", 1).body, b"b");
+    assert_eq!((discovery.calls(), elsewhere.calls()), (calls + 1, 0));
+}
+
+#[test]
+fn the_same_replicas_in_another_order_change_nothing() {
+    let server = CacheServer::serving("a");
+    let hosts = [server.entry("a", "ready")];
+    let replicas = [Discovery::start(&hosts), Discovery::start(&hosts)];
+    let addresses = [replicas[0].address, replicas[1].address];
+    let folder = Folder::new();
+    let node = run(&folder, &file(&list(&addresses)));
+    let watches = |replica: &Discovery| {
+        replica.asked.lock().unwrap().iter().filter(|path| path.contains("after=1&")).count()
+    };
+    let all = || replicas.iter().map(watches).sum::<usize>();
+    wait_for("the watch at one of them", || all() == 1);
+    node.reconfigure(&file(&list(&[addresses[1], addresses[0]])));
+    assert_eq!(node.said("configuration read again: nothing changed"), 1);
+    assert_eq!(all(), 1);
+    // Each has been asked for no more than the list and the watch.
+    assert_eq!(replicas.iter().map(Discovery::calls).sum::<usize>(), 2);
+}
