--- a/crates/node/src/daemon/change.rs
+++ b/crates/node/src/daemon/change.rs
@@ -1,8 +1,10 @@
 //! What a new configuration changes: which listeners and pools go on as they are, and the words for it.
 
-use crate::config::{Config, Source};
+use crate::config::{Config, DiscoveryReplicas, Pool, Source};
+use decide::replicas::Capacity;
 use decide::{Class, Settings};
 use std::fmt;
+use std::net::SocketAddr;
 
 /// What lies between the configuration held and the one wanted.
 #[derive(Debug, PartialEq, Eq)]
@@ -41,11 +43,8 @@
         came_and_went(&mut words, "pool", &self.pools, pools(held), pools(wanted));
         for (pool, place) in wanted.pools.iter().zip(&self.pools) {
             let Some(before) = place.map(|place| &held.pools[place]) else { continue };
-            if pool.source != before.source {
-                words.push(format!("pool {}: list from {}", pool.name, source(&pool.source)));
-            } else if pool.source == Source::Fixed && pool.known.hosts != before.known.hosts {
-                words.push(format!("pool {}: other servers", pool.name));
-            }
+            let changes = list_changes(before, pool);
+            words.extend(changes.into_iter().map(|change| format!("pool {}: {change}", pool.name)));
         }
         let (before, after) = (classes(held), classes(wanted));
         for (pool, class) in &after {
@@ -101,14 +100,47 @@
     words.extend(went.map(|(_, name)| format!("{what} {name} removed")));
 }
 
+/// What changed about where a pool's list comes from, and about the list itself where the file has it.
+fn list_changes(before: &Pool, after: &Pool) -> Vec<String> {
+    match (&before.source, &after.source) {
+        (Source::Discovery(before), Source::Discovery(after)) => discovery_changes(before, after),
+        (Source::Fixed, Source::Fixed) if before.known.hosts != after.known.hosts => {
+            vec!["other servers".into()]
+        }
+        (before, after) if before != after => vec![format!("list from {}", source(after))],
+        _ => Vec::new(),
+    }
+}
+
+fn discovery_changes(before: &DiscoveryReplicas, after: &DiscoveryReplicas) -> Vec<String> {
+    let mut changes = Vec::new();
+    if before.addresses != after.addresses {
+        changes.push(format!("list from discovery at {}", listed(&after.addresses)));
+    }
+    if before.capacity != after.capacity {
+        changes.push(match after.capacity {
+            Some(Capacity { lines_per_second, call_lines }) => {
+                format!("discovery of {lines_per_second} lines a second and {call_lines} a call")
+            }
+            None => "discovery of unknown capacity".into(),
+        });
+    }
+    changes
+}
+
 fn source(source: &Source) -> String {
     match source {
-        Source::Discovery(at) => format!("discovery at {at}"),
+        Source::Discovery(replicas) => format!("discovery at {}", listed(&replicas.addresses)),
         Source::File(path) => path.display().to_string(),
         Source::Fixed => "the file itself".into(),
     }
 }
 
+fn listed(addresses: &[SocketAddr]) -> String {
+    let addresses: Vec<_> = addresses.iter().map(ToString::to_string).collect();
+    addresses.join(", ")
+}
+
 /// All classes, each with the name of its pool.
 fn classes(config: &Config) -> Vec<(&str, &Class)> {
     let all = config.pools.iter();
@@ -128,6 +160,7 @@
 
     const POOL: &str = "[[pool]]\nname = \"p\"\ndiscovery = \"127.0.0.1:1\"\n";
     const CLASS: &str = "[[class]]\nname = \"a\"\n";
+    const CAPACITY: &str = "discovery_lines_per_second = 200\ndiscovery_call_lines = 2.5\n";
 
     fn config(text: &str) -> Config {
         let text = format!("version = 1\nnodes = 3\nseed = 1\n{text}");
@@ -175,6 +208,7 @@
         let server = |name: &str| {
             format!("[[pool]]\nname = \"p\"\n[[pool.server]]\nname = \"{name}\"\naddress = \"127.0.0.1:9\"\n")
         };
+        let replicas = |list: &str| format!("[[pool]]\nname = \"p\"\ndiscovery = [{list}]\n");
         let good = format!("{POOL}{CLASS}");
         let cases = [
             (
@@ -182,6 +216,28 @@
                 format!("{}{CLASS}", POOL.replace(":1\"", ":2\"")),
                 "pool p: list from discovery at 127.0.0.1:2",
             ),
+            (good.clone(), format!("{}{CLASS}", replicas("\"127.0.0.1:1\"")), "nothing changed"),
+            (
+                good.clone(),
+                format!("{}{CLASS}", replicas("\"127.0.0.1:2\", \"127.0.0.1:1\"")),
+                "pool p: list from discovery at 127.0.0.1:1, 127.0.0.1:2",
+            ),
+            (
+                format!("{}{CLASS}", replicas("\"127.0.0.1:2\", \"127.0.0.1:1\"")),
+                format!("{}{CLASS}", replicas("\"127.0.0.1:1\", \"127.0.0.1:2\"")),
+                "nothing changed",
+            ),
+            (
+                good.clone(),
+                format!("{POOL}{CAPACITY}{CLASS}"),
+                "pool p: discovery of 200 lines a second and 2.5 a call",
+            ),
+            (format!("{POOL}{CAPACITY}{CLASS}"), good.clone(), "pool p: discovery of unknown capacity"),
+            (
+                format!("{}{CLASS}", server("s")),
+                format!("{POOL}{CAPACITY}{CLASS}"),
+                "pool p: list from discovery at 127.0.0.1:1",
+            ),
             (good.clone(), format!("[[pool]]\nname = \"p\"\nfile = \"/x\"\n{CLASS}"), "pool p: list from /x"),
             (good.clone(), format!("{}{CLASS}", server("s")), "pool p: list from the file itself"),
             (format!("{}{CLASS}", server("s")), format!("{}{CLASS}", server("t")), "pool p: other servers"),
