Ask replicas of discovery one after the other, and withhold servers told to be leaving

The client goes by the order, failover and back-off decided in decide; a call goes on where its replica stays in a reloaded configuration. A server that one replica told to be leaving, in an answer that broke off, takes no work by an older list of another's.

--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -18,6 +18,10 @@
 /// A list that is doubted is believed when it is told so often, with none taken between.
 const BELIEVED: u32 = 3;
 
+/// An answer that is no list is not taken at its word for a version further ahead than this. It is 2 h of changes, of 12,000
+/// a day.
+const MOST_AHEAD: u64 = 1_000;
+
 /// An entry of a list, as far as it matters here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Listed<'a> {
@@ -103,6 +107,14 @@
     }
 }
 
+/// Servers that a replica told to be leaving in an answer that was not taken. Its neighbours may not know yet.
+#[derive(Clone, Debug, Default)]
+struct Withheld {
+    names: BTreeSet<String>,
+    /// The version of that answer, as far as it could be read: older lists do not tell whether it was so.
+    version: u64,
+}
+
 /// What is known of the list, and of those that were doubted.
 #[derive(Clone, Debug, Default)]
 pub struct Membership {
@@ -114,10 +126,7 @@
     doubted: u32,
     /// The replicas that told a doubted list since one was taken.
     doubted_by: BTreeSet<String>,
-    /// Older lists lack what was heeded of an answer that broke off.
-    least: Option<u64>,
-    /// Servers that were heeded as leaving, of which no list that was taken tells yet.
-    unconfirmed: BTreeSet<String>,
+    withheld: Withheld,
 }
 
 impl Membership {
@@ -147,16 +156,28 @@
         self.ask_whole = true;
     }
 
-    /// The same of one of several replicas, whose neighbours may have the list that it broke off: they are asked for changes.
-    /// `version` is that of the answer, as far as it could be read. Until a list as new as that is taken older ones are
-    /// doubted: they would make servers ready again that were told to be leaving.
+    /// The same of one of several replicas, whose neighbours may not know yet what it told. `version` is that of the answer,
+    /// as far as it could be read. Until a list as new as that is taken these servers are [`Self::withheld`].
     pub fn heeded_from(&mut self, teller: Teller, version: Option<u64>, leaving: BTreeSet<String>) {
         if !teller.has_neighbours() {
             return self.heeded();
         }
-        let next = self.held.map(|held| held.saturating_add(1));
-        self.least = self.least.max(next).max(version);
-        self.unconfirmed.extend(leaving);
+        let next = self.held.map_or(0, |held| held.saturating_add(1));
+        // What is older than the list held, and differs from it, has been changed since: the next list tells.
+        let version = version.map_or(next, |version| version.min(next.saturating_add(MOST_AHEAD)));
+        self.withheld.version = self.withheld.version.max(version);
+        self.withheld.names.extend(leaving);
+    }
+
+    /// Servers that get no new work although the list that was taken last may call them ready: a replica told that they
+    /// are leaving, and that list is older.
+    pub fn withheld(&self) -> &BTreeSet<String> {
+        &self.withheld.names
+    }
+
+    /// A list is held whose version is known.
+    pub fn holds_list(&self) -> bool {
+        self.held.is_some()
     }
 
     /// How many servers of the list held are ready.
@@ -221,22 +242,39 @@
     }
 
     fn take(&mut self, seq: u64, whole: bool, hosts: &[Listed]) {
-        (self.held, self.ask_whole, self.doubted, self.least) = (Some(seq), false, 0, None);
+        (self.held, self.ask_whole, self.doubted) = (Some(seq), false, 0);
         self.doubted_by.clear();
         if whole {
             self.ready.clear();
-            self.unconfirmed.clear();
         }
+        self.release(seq, whole, hosts);
         for host in hosts {
-            self.unconfirmed.remove(host.name);
-            if host.state == Availability::Ready && host.has_address {
+            let works = host.state == Availability::Ready && host.has_address;
+            if works && !self.withheld.names.contains(host.name) {
                 self.ready.insert(host.name.to_owned());
             } else {
                 self.ready.remove(host.name);
             }
         }
-        // What was heeded was not so, or has been taken back: only the whole list tells.
-        self.ask_whole = !self.unconfirmed.is_empty();
+    }
+
+    /// A list as new as what was heeded tells whether it was so.
+    fn release(&mut self, seq: u64, whole: bool, hosts: &[Listed]) {
+        if seq < self.withheld.version {
+            return;
+        }
+        if whole {
+            self.withheld.names.clear();
+        }
+        for host in hosts {
+            self.withheld.names.remove(host.name);
+        }
+        if self.withheld.names.is_empty() {
+            self.withheld.version = 0;
+        } else {
+            // Of these it was not so, or has been taken back before: only the whole list tells.
+            self.ask_whole = true;
+        }
     }
 
     fn doubt(&self, told: u64, whole: bool, hosts: &[Listed]) -> Option<Doubt> {
@@ -251,7 +289,7 @@
                 }
             }
         }
-        if let Some(held) = self.held.max(self.least).filter(|held| told < *held) {
+        if let Some(held) = self.held.filter(|held| told < *held) {
             return Some(Doubt::Older { told, held });
         }
         let known = self.ready.len();
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,35 +1,34 @@
-//! The client of discovery: the whole list, the watch on changes, backoff.
+//! The client of discovery: which replica is asked, the full list, the watch on changes, back-off.
+
+mod exchange;
 
 use crate::config::DiscoveryReplicas;
 use crate::input::Input;
 use crate::listing::{Listing, Malformed};
 use crate::log::log;
-use bytes::Bytes;
-use decide::asking::{Asking, End, Terms};
-use decide::membership::{Doubt, Membership};
-use http_body_util::{BodyExt, Empty, Limited};
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::HOST;
-use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
+use decide::asking::{Call, End, Pace, Terms};
+use decide::discovery_client::{CallEnd, DiscoveryClient, Jitter};
+use decide::membership::{Doubt, Membership, Teller};
+use decide::replicas::{Changed, Replicas, Step};
+use decide::Timestamp;
+use exchange::{Exchange, Limits, Link};
+use hyper::StatusCode;
 use std::cell::Cell;
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
-use tokio::task::AbortHandle;
-use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tokio::time::{sleep, Instant};
 
-/// An answer that has begun is whole within this time.
-const ANSWER: Duration = Duration::from_secs(3);
-const CONNECT: Duration = Duration::from_secs(2);
 /// What is odd in a list is logged so often for each.
 const REMARKS: usize = 3;
-/// A list longer than this is no list.
-const LARGEST: usize = 8 << 20;
+/// An error is logged up to so many characters: an answer may hold anything.
+const LONGEST_ERROR: usize = 240;
+/// Of an answer that is no list so many bytes are logged.
+const SHOWN: usize = 40;
 
 #[derive(Debug, Error)]
 enum CallError {
@@ -43,32 +42,44 @@
     Body(#[from] Box<dyn std::error::Error + Send + Sync>),
     #[error("answered {0}")]
     Status(StatusCode),
-    #[error("{0}")]
-    Malformed(#[from] Malformed),
+    #[error("{error}; it begins with \"{begin}\"")]
+    Malformed { error: Malformed, begin: String },
     #[error("list not taken: {0}")]
     Doubt(#[from] Doubt),
     #[error("no answer in time")]
     Overdue,
 }
 
-/// An open connection; its driving task ends with it.
-struct Link {
-    sender: SendRequest<Empty<Bytes>>,
-    task: AbortHandle,
+impl CallError {
+    /// How the call ended, which was made so long ago.
+    fn end(&self, took: Duration) -> CallEnd {
+        match self {
+            Self::Status(StatusCode::SERVICE_UNAVAILABLE) => CallEnd::Refused { took },
+            Self::Overdue => CallEnd::Other(End::Overdue),
+            Self::Connect(_) => CallEnd::Other(End::Unreached { took }),
+            _ => CallEnd::Other(End::Failed),
+        }
+    }
 }
 
-impl Drop for Link {
-    fn drop(&mut self) {
-        self.task.abort();
+/// What lines of the log begin with: a replica is named where there are several.
+#[derive(Clone, Debug)]
+struct Wording(Option<SocketAddr>);
+
+impl fmt::Display for Wording {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self.0 {
+            Some(address) => write!(f, "discovery at {address}"),
+            None => f.write_str("discovery"),
+        }
     }
 }
 
 /// The client of discovery.
 pub struct Discovery {
-    /// The node that asks.
-    #[expect(dead_code, reason = "the order of replicas goes by it")]
+    /// The node that asks: the order in which it asks replicas goes by its name.
     pub node: String,
-    /// Where it answers. A new address ends what was going on at the old one.
+    /// Where it answers. The watch at a replica that stays goes on.
     pub replicas: watch::Receiver<DiscoveryReplicas>,
     /// Judges what it tells.
     pub membership: Membership,
@@ -78,157 +89,245 @@
     pub events: UnboundedSender<Input>,
 }
 
+/// What a call came to.
+enum Called {
+    /// It ended, and the bytes of its answer were these.
+    Ended(Result<(), CallError>, Vec<u8>),
+    /// The replica that was called is none any more.
+    Moved,
+    /// The driver has gone.
+    Over,
+}
+
+/// The client at work.
+struct Running {
+    discovery: Discovery,
+    client: DiscoveryClient,
+    addresses: Vec<SocketAddr>,
+    /// Open to the current replica.
+    link: Option<Link>,
+    began: Instant,
+}
+
 impl Discovery {
     /// Asks for as long as the driver lives, whether the list has to be asked for or an agent is sent it: neither tells
-    /// anything to a node that does not call. A new address starts anew at once, from the whole list: versions of the old
-    /// one mean nothing there, and the node serves from the list it holds until that has come.
+    /// anything to a node that does not call. Where no replica stays, it starts anew at once, from the full list: versions
+    /// of the old ones mean nothing there, and the node serves from the list it holds until that has come.
     pub async fn run(mut self) {
-        let mut replicas = self.replicas.clone();
-        loop {
-            let Some(at) = replicas.borrow_and_update().addresses.first().copied() else { return };
-            tokio::select! {
-                // All that belongs to the old address goes with this future: its link, watch and backoff.
-                () = self.watch_at(at) => return,
-                moved = replicas.changed() => if moved.is_err() { return },
-            }
-            self.membership.moved();
+        let addresses = self.replicas.borrow_and_update().addresses.clone();
+        if addresses.is_empty() {
+            return;
         }
+        let client = DiscoveryClient::new(Replicas::new(&self.node, names(&addresses)));
+        let running = Running { discovery: self, client, addresses, link: None, began: Instant::now() };
+        running.run().await;
     }
+}
 
-    /// Asks at one address, until the driver has gone.
-    async fn watch_at(&mut self, address: SocketAddr) {
-        let mut asking = Asking::default();
-        let mut link = None;
+impl Running {
+    async fn run(mut self) {
         loop {
-            let call = asking.call(self.terms.get(), self.asks_for_changes(), self.random.f64());
-            let (began, mut read) = (Instant::now(), Vec::new());
-            let called = timeout(call.limit, self.call(address, call.wait, &mut link, &mut read)).await;
-            let judged = called.unwrap_or(Err(CallError::Overdue)).and_then(|()| self.judged(&read));
-            let (input, end) = match judged {
-                Ok(listing) => {
-                    let end = End::Answered { took: began.elapsed(), news: !listing.hosts.is_empty() };
-                    (Input::Listing(listing), end)
-                }
-                Err(error) => {
-                    // What may still come on it belongs to a call that was given up.
-                    link = None;
-                    log!("discovery: {error}");
-                    if self.heed(&read) {
-                        self.membership.heeded();
-                    }
-                    let end = match error {
-                        CallError::Overdue => End::Overdue,
-                        CallError::Connect(_) => End::Unreached { took: began.elapsed() },
-                        _ => End::Failed,
-                    };
-                    (Input::ListingFailed, end)
-                }
+            let for_changes = self.asks_for_changes();
+            let call = self.client.call(self.pace(), for_changes, self.discovery.random.f64());
+            let at = Instant::now();
+            let pause = match self.call(call).await {
+                Called::Ended(result, read) => match self.take_in(call, result, &read, at.elapsed()) {
+                    Some(pause) => pause,
+                    None => return,
+                },
+                Called::Moved => continue,
+                Called::Over => return,
             };
-            if self.events.send(input).is_err() {
+            if !pause.is_zero() && !self.pause(pause).await {
                 return;
             }
-            let draw = self.random.f64();
-            let pause = asking.ended(self.terms.get(), call, end, self.asks_for_changes(), draw);
-            if !pause.is_zero() {
-                sleep(pause).await;
-            }
         }
     }
 
-    /// Tells the driver of servers that are leaving by what has been read of an answer; whether there are any.
-    fn heed(&self, read: &[u8]) -> bool {
-        let names = Listing::leaving(read);
-        let any = !names.is_empty();
-        if any {
-            log!(
-                "discovery: {} servers told to be leaving in an answer that is no list, heeded",
-                names.len()
-            );
-            // The driver only goes when the node does.
-            let _ = self.events.send(Input::Leaving(names));
+    /// Makes a call to the current replica. Other replicas may be named meanwhile; the call goes on if this one stays.
+    async fn call(&mut self, call: Call) -> Called {
+        let exchange = self.exchange(call);
+        let (mut link, mut read) = (self.link.take(), Vec::new());
+        let ended = {
+            let running = exchange.run(&mut link, &mut read);
+            tokio::pin!(running);
+            loop {
+                tokio::select! {
+                    ended = &mut running => break ended,
+                    changed = self.discovery.replicas.changed() => match changed {
+                        Err(_) => return Called::Over,
+                        Ok(()) if self.change() != Changed::CurrentStays => return Called::Moved,
+                        Ok(()) => {}
+                    },
+                }
+            }
+        };
+        // What may still come on the connection of a call that failed belongs to that call.
+        self.link = link.filter(|_| ended.is_ok());
+        Called::Ended(ended, read)
+    }
+
+    /// Waits before the next call; whether the driver is still there. Where the replica that would be called is none any
+    /// more, there is nothing to wait for.
+    async fn pause(&mut self, pause: Duration) -> bool {
+        let pause = sleep(pause);
+        tokio::pin!(pause);
+        loop {
+            tokio::select! {
+                () = &mut pause => return true,
+                changed = self.discovery.replicas.changed() => match changed {
+                    Err(_) => return false,
+                    Ok(()) if self.change() != Changed::CurrentStays => return true,
+                    Ok(()) => {}
+                },
+            }
         }
-        any
     }
 
-    fn asks_for_changes(&self) -> bool {
-        self.membership.asks_after().is_some()
+    /// Takes in how a call ended and gives the pause before the next one; `None` once the driver has gone.
+    fn take_in(
+        &mut self,
+        call: Call,
+        result: Result<(), CallError>,
+        read: &[u8],
+        took: Duration,
+    ) -> Option<Duration> {
+        let (input, end) = match result.and_then(|()| self.judged(read)) {
+            Ok(listing) => {
+                let end = End::Answered { took, news: !listing.hosts.is_empty() };
+                (Input::Listing(listing), CallEnd::Other(end))
+            }
+            Err(error) => {
+                self.link = None;
+                log!("{}: {}", self.wording(), bounded(&error.to_string()));
+                self.heed(read);
+                (Input::ListingFailed, error.end(took))
+            }
+        };
+        self.discovery.events.send(input).ok()?;
+        let random = &mut self.discovery.random;
+        // One replica leaves no choice, and draws nothing for it.
+        let hold_down = if self.addresses.len() > 1 { random.f64() } else { 0.0 };
+        let jitter = Jitter { pause: random.f64(), hold_down };
+        let now = Timestamp::from_micros(self.began.elapsed().as_micros() as u64);
+        let (pace, for_changes) = (self.pace(), self.asks_for_changes());
+        let next = self.client.ended(now, pace, call, end, for_changes, jitter);
+        if next.step != Step::Stay {
+            self.link = None;
+            log!("{}: asked from here on", self.wording());
+        }
+        Some(next.pause)
     }
 
     /// The list, if it is one to be taken.
     fn judged(&mut self, read: &[u8]) -> Result<Listing, CallError> {
-        let listing = Listing::read(read)?;
-        let remarks = self.membership.judge(listing.seq, listing.whole, &listing.listed())?;
+        let malformed = |error| CallError::Malformed { error, begin: begin(read) };
+        let mut listing = Listing::read(read).map_err(malformed)?;
+        let address = self.address().to_string();
+        let teller = Teller { replica: &address, replicas: self.addresses.len() };
+        let membership = &mut self.discovery.membership;
+        let remarks = membership.judge_from(teller, listing.seq, listing.whole, &listing.listed())?;
+        listing.withhold(membership.withheld());
+        let wording = self.wording();
         for remark in remarks.iter().take(REMARKS) {
-            log!("discovery: {remark}");
+            log!("{wording}: {remark}");
         }
         if let Some(more) = remarks.len().checked_sub(REMARKS).filter(|more| *more > 0) {
-            log!("discovery: {more} more like these");
+            log!("{wording}: {more} more like these");
         }
         Ok(listing)
     }
 
-    /// One call. What its answer says is in `read`, as far as it came: what was written counts as told, although the rest may
-    /// never come, or late.
-    async fn call(
-        &self,
-        address: SocketAddr,
-        wait: Duration,
-        link: &mut Option<Link>,
-        read: &mut Vec<u8>,
-    ) -> Result<(), CallError> {
-        // A kept connection that discovery has closed meanwhile is no failure of the call.
-        let usable = match link {
-            Some(link) => link.sender.ready().await.is_ok(),
-            None => false,
-        };
-        if !usable {
-            *link = None;
+    /// Heeds what an answer that is not taken says of servers that are leaving.
+    fn heed(&mut self, read: &[u8]) {
+        let mut leaving = Listing::leaving(read);
+        let membership = &mut self.discovery.membership;
+        if self.addresses.len() > 1 && membership.holds_list() {
+            // Of the others a replica that lags tells nothing that would have to be asked for.
+            leaving.names.retain(|name| membership.is_ready(name));
         }
-        let link = match link {
-            Some(link) => link,
-            None => link.insert(connect(address).await?),
-        };
-        let path = match self.membership.asks_after() {
-            Some(seq) => format!("/v1/servers?after={seq}&wait_ms={}", wait.as_millis()),
-            None => "/v1/servers".to_owned(),
-        };
-        let request = Request::get(path).header(HOST, address.to_string()).body(Empty::new())?;
-        let response = link.sender.send_request(request).await?;
-        if response.status() != StatusCode::OK {
-            return Err(CallError::Status(response.status()));
+        if leaving.names.is_empty() {
+            return;
         }
-        let mut body = Limited::new(response.into_body(), LARGEST);
-        let (until, look) = (Instant::now() + ANSWER, self.terms.get().look());
-        let (mut next, mut looked) = (Instant::now() + look, 0);
-        loop {
-            match timeout_at(next, body.frame()).await {
-                Ok(Some(frame)) => {
-                    if let Ok(data) = frame?.into_data() {
-                        read.extend_from_slice(&data);
-                    }
-                }
-                Ok(None) => return Ok(()),
-                Err(_) if Instant::now() >= until => return Err(CallError::Overdue),
-                Err(_) => {
-                    next = Instant::now() + look;
-                    if read.len() > looked {
-                        self.heed(read);
-                        looked = read.len();
-                    }
-                }
-            }
+        exchange::heed(&self.wording(), &self.discovery.events, leaving.names.clone());
+        let address = self.address().to_string();
+        let teller = Teller { replica: &address, replicas: self.addresses.len() };
+        self.discovery.membership.heeded_from(teller, leaving.version, leaving.names);
+    }
+
+    /// Takes on the replicas that are named now.
+    fn change(&mut self) -> Changed {
+        let addresses = self.discovery.replicas.borrow_and_update().addresses.clone();
+        if addresses.is_empty() || addresses == self.addresses {
+            return Changed::CurrentStays;
+        }
+        let changed = self.client.change(names(&addresses));
+        self.addresses = addresses;
+        match changed {
+            Changed::CurrentStays | Changed::OthersStay => self.discovery.membership.replicas_changed(),
+            Changed::NoneStays => self.discovery.membership.moved(),
         }
+        if changed != Changed::CurrentStays {
+            self.link = None;
+        }
+        changed
+    }
+
+    fn exchange(&self, call: Call) -> Exchange {
+        let limits = Limits { call: call.limit, sending: self.client.sending(self.pace()) };
+        Exchange {
+            address: self.address(),
+            has_neighbours: self.addresses.len() > 1,
+            after: self.discovery.membership.asks_after().map(|seq| (seq, call.wait)),
+            limits,
+            look: self.discovery.terms.get().look(),
+            wording: self.wording(),
+            events: self.discovery.events.clone(),
+        }
+    }
+
+    fn pace(&self) -> Pace {
+        let capacity = self.discovery.replicas.borrow().capacity;
+        let held = u32::try_from(self.discovery.membership.ready_count()).unwrap_or(u32::MAX);
+        let list_lines = Some(held).filter(|lines| *lines > 0);
+        Pace::of(self.discovery.terms.get(), self.client.replicas().serving(), capacity, list_lines)
+    }
+
+    fn asks_for_changes(&self) -> bool {
+        self.discovery.membership.asks_after().is_some()
+    }
+
+    /// Of the replica that is asked.
+    fn address(&self) -> SocketAddr {
+        self.addresses[self.client.replicas().current()]
+    }
+
+    fn wording(&self) -> Wording {
+        Wording((self.addresses.len() > 1).then(|| self.address()))
+    }
+}
+
+/// Replicas go by their addresses.
+fn names(addresses: &[SocketAddr]) -> Vec<String> {
+    addresses.iter().map(ToString::to_string).collect()
+}
+
+/// The first bytes of an answer, fit for a line of the log.
+fn begin(read: &[u8]) -> String {
+    read[..read.len().min(SHOWN)].escape_ascii().to_string()
+}
+
+/// Words for a line of the log: they may hold what an answer holds.
+fn bounded(words: &str) -> String {
+    let mut bounded: String = words.chars().take(LONGEST_ERROR).flat_map(printable).collect();
+    if words.chars().nth(LONGEST_ERROR).is_some() {
+        bounded.push_str("...");
     }
+    bounded
 }
 
-async fn connect(address: SocketAddr) -> Result<Link, CallError> {
-    let stream = timeout(CONNECT, TcpStream::connect(address)).await;
-    let stream = stream.unwrap_or(Err(std::io::ErrorKind::TimedOut.into()))?;
-    stream.set_nodelay(true)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let task = tokio::task::spawn_local(async move {
-        // How it ends shows at the call that is out, or at the next one.
-        let _ = connection.await;
-    });
-    Ok(Link { sender, task: task.abort_handle() })
+fn printable(letter: char) -> impl Iterator<Item = char> {
+    let (plain, escaped) =
+        if letter.is_control() { (None, Some(letter.escape_default())) } else { (Some(letter), None) };
+    plain.into_iter().chain(escaped.into_iter().flatten())
 }
--- a/crates/node/src/listing.rs
+++ b/crates/node/src/listing.rs
@@ -6,7 +6,7 @@
 use decide::{Availability, ServerEntry, Timestamp};
 use serde::de::DeserializeSeed;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use thiserror::Error;
 
@@ -33,6 +33,15 @@
     pub hosts: Vec<Host>,
 }
 
+/// What an answer that is no list, or not yet, says of servers that are leaving.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Leaving {
+    /// The version of the answer, as far as it can be read.
+    pub version: Option<u64>,
+    /// They.
+    pub names: BTreeSet<String>,
+}
+
 /// One cache server in it.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 pub struct Host {
@@ -70,14 +79,24 @@
         Ok(listing)
     }
 
-    /// The names of servers that are told to be leaving in an answer, as far as it can be read: it may break off anywhere,
-    /// and entries may lack what a list needs. Of what is told of one server the last holds.
-    pub fn leaving(body: &[u8]) -> BTreeSet<String> {
-        let mut told = BTreeMap::new();
+    /// The servers that are told to be leaving in an answer, as far as it can be read: it may break off anywhere, and entries
+    /// may lack what a list needs. Of what is told of one server the last holds.
+    pub fn leaving(body: &[u8]) -> Leaving {
+        let mut salvaged = salvage::Salvaged::default();
         let mut json = serde_json::Deserializer::from_slice(body);
         // How it ends does not matter: what came before was told.
-        let _ = salvage::Answer(&mut told).deserialize(&mut json);
-        told.into_iter().filter(|(_, health)| health != READY).map(|(host, _)| host).collect()
+        let _ = salvage::Answer(&mut salvaged).deserialize(&mut json);
+        let leaving = salvaged.told.into_iter().filter(|(_, health)| health != READY);
+        Leaving { version: salvaged.version, names: leaving.map(|(host, _)| host).collect() }
+    }
+
+    /// Servers of these names take no work, whatever the list says.
+    pub fn withhold(&mut self, names: &BTreeSet<String>) {
+        for host in self.hosts.iter_mut().filter(|host| names.contains(&host.host)) {
+            if let Some(leaving) = host.leaving() {
+                *host = leaving;
+            }
+        }
     }
 
     /// Its entries, as far as it matters to whether it is taken.
@@ -192,7 +211,7 @@
 
     #[test]
     fn what_is_told_to_be_leaving_is_read_from_an_answer_that_is_no_list() {
-        let leaving = |text: &str| Vec::from_iter(Listing::leaving(text.as_bytes())).join(",");
+        let leaving = |text: &str| Vec::from_iter(Listing::leaving(text.as_bytes()).names).join(",");
         let cases = [
             (r#"{"seq":2,"whole":false,"hosts":[{"host":"a","health":"draining"},{"host":"b"#, "a"),
             (
@@ -228,7 +247,7 @@
             }
             let cut = (text.len() as f64 * cut) as usize;
             let whole = ends.iter().filter(|end| **end <= cut).count();
-            prop_assert_eq!(Listing::leaving(&text.as_bytes()[..cut]).len(), whole);
+            prop_assert_eq!(Listing::leaving(&text.as_bytes()[..cut]).names.len(), whole);
         }
 
         #[test]
--- a/crates/node/src/listing/salvage.rs
+++ b/crates/node/src/listing/salvage.rs
@@ -7,10 +7,19 @@
 use std::fmt::{Formatter, Result as Written};
 
 /// What is said of each server, by name.
-type Told = BTreeMap<String, String>;
+pub type Told = BTreeMap<String, String>;
+
+/// What can be read of an answer.
+#[derive(Debug, Default)]
+pub struct Salvaged {
+    /// Its version, if that stands before what cannot be read.
+    pub version: Option<u64>,
+    /// What it says of servers.
+    pub told: Told,
+}
 
 /// The whole answer.
-pub struct Answer<'a>(pub &'a mut Told);
+pub struct Answer<'a>(pub &'a mut Salvaged);
 
 /// Its entries.
 struct Hosts<'a>(&'a mut Told);
@@ -29,10 +38,10 @@
     }
     fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<(), A::Error> {
         while let Some(key) = map.next_key::<String>()? {
-            if key == "hosts" {
-                map.next_value_seed(Hosts(self.0))?;
-            } else {
-                map.next_value::<IgnoredAny>()?;
+            match key.as_str() {
+                "hosts" => map.next_value_seed(Hosts(&mut self.0.told))?,
+                "seq" => self.0.version = map.next_value::<Value>()?.as_u64(),
+                _ => drop(map.next_value::<IgnoredAny>()?),
             }
         }
         Ok(())
