--- a/crates/decide/tests/replicas.rs
+++ b/crates/decide/tests/replicas.rs
@@ -86,8 +86,8 @@
     let mut replicas = Replicas::new("h0", names(4));
     let order = replicas.order().to_vec();
     for round in 0..3 {
-        for place in 0..4 {
-            assert_eq!(replicas.current(), order[place]);
+        for (place, replica) in order.iter().enumerate() {
+            assert_eq!(replicas.current(), *replica);
             let step = replicas.ended(at(round as f64), Failed, HOLD_DOWN, 0.5);
             assert_eq!(step, if place == 3 { Step::BackOff } else { Step::MoveOn });
         }
