--- a/crates/node/tests/replicas.rs
+++ b/crates/node/tests/replicas.rs
@@ -372,7 +372,8 @@
 fn bytes_that_are_no_list_are_named_within_bounds_and_a_neighbour_is_asked() {
     let servers = Servers::start();
     let service = Service::start(2, "n0", &lists(1, &servers.both()));
-    let odd = format!("{{\"seq\":\"\u{1b}[2J{}\"", "x".repeat(100_000));
+    // Valid so far, and named by whoever reads it.
+    let odd = format!("{{\"seq\":\"\\u001b[2J{}\"", "x".repeat(100_000));
     service.replicas[0].does(Does::Says(odd));
     let folder = Folder::new();
     let node = run(&folder, &service.file("n0"));
