--- a/crates/node/tests/replicas.rs
+++ b/crates/node/tests/replicas.rs
@@ -26,6 +26,8 @@
     Says(String),
     /// With the beginning of an answer; then it closes.
     BreaksOff(String),
+    /// With this list, after as long as sending it takes.
+    Sends { list: String, takes: Duration },
     /// With 503.
     Refuses,
     /// It accepts, reads and says nothing.
@@ -147,6 +149,10 @@
             }
             Does::Lists { version, hosts } => whole(version, &hosts),
             Does::Says(text) => text,
+            Does::Sends { list, takes } => {
+                thread::sleep(takes);
+                list
+            }
             Does::BreaksOff(text) => {
                 let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", text.len() + MISSING);
                 let _ = stream.write_all(format!("{head}{text}").as_bytes());
@@ -386,6 +392,29 @@
     assert_eq!(service.calls_to(0).len(), 1);
 }
 
+// With no list of its own the node does not know how long it is. Without a stated capacity the call is given up before that.
+#[test]
+fn a_full_list_that_takes_long_to_send_is_waited_for_where_the_capacity_is_stated() {
+    let servers = Servers::start();
+    let service = Service::start(2, "n0", &lists(1, &servers.both()));
+    let sends = Does::Sends { list: whole(1, &servers.both()), takes: Duration::from_secs(5) };
+    service.replicas[0].does(sends);
+    let folder = Folder::new();
+    let capacity = "discovery_lines_per_second = 200\ndiscovery_call_lines = 10\n";
+    let file = service.file("n0").replace("[[class]]", &format!("{capacity}[[class]]"));
+    let _node = run(&folder, &file);
+    service.wait_for_watch(0, 1);
+    let places: Vec<_> = service.calls().into_iter().map(|(place, _)| place).collect();
+    assert_eq!(places, [0, 0]);
+    let plain = Service::start(2, "n0", &lists(1, &servers.both()));
+    plain.replicas[0].does(Does::Sends { list: whole(1, &servers.both()), takes: Duration::from_secs(5) });
+    let folder = Folder::new();
+    let _node = run(&folder, &plain.file("n0"));
+    plain.wait_for_watch(1, 1);
+    let places: Vec<_> = plain.calls().into_iter().map(|(place, _)| place).collect();
+    assert_eq!(places, [0, 1, 1]);
+}
+
 #[test]
 fn a_replica_that_refuses_is_asked_once_more_before_its_neighbour_is() {
     let servers = Servers::start();
