Ask for the node's own name where a pool has several replicas of discovery

Nodes spread over replicas by their names. A fleet whose files leave the name out goes by one name, "pinhead", and would ask one replica alone. With one address, as in every file before, the name may be left out as ever.

--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -95,6 +95,13 @@
     Fixed,
 }
 
+impl Source {
+    /// Whether there are several replicas to choose from.
+    pub fn has_replicas(&self) -> bool {
+        matches!(self, Self::Discovery(replicas) if replicas.addresses.len() > 1)
+    }
+}
+
 /// The replicas of one discovery service. They share one sequence of versions, though one may lag behind another.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DiscoveryReplicas {
--- a/crates/node/src/config/operator.rs
+++ b/crates/node/src/config/operator.rs
@@ -30,6 +30,8 @@
 const MOST_NODES: u64 = 10_000;
 const TIME: RangeInclusive<Duration> = Duration::from_millis(1)..=Duration::from_secs(3_600);
 const SHARE: RangeInclusive<f64> = 0.0..=1.0;
+/// A node goes by this where its file has no name.
+const DEFAULT_NAME: &str = "pinhead";
 const NAME: &str = "a name of up to 64 letters, digits, '-', '_' and '.'";
 
 /// Why a file is of no use.
@@ -100,7 +102,7 @@
 
 fn config(top: &Table, folder: &Path) -> Config {
     version(top);
-    let name_of_node = top.text("name", NAME, named).unwrap_or_else(|| "pinhead".into());
+    let name_of_node = top.text("name", NAME, named).unwrap_or_else(|| DEFAULT_NAME.into());
     let base = Settings {
         cancelling: true,
         second_copies: true,
@@ -129,6 +131,10 @@
     if pools.is_empty() {
         top.fault("pool", "expected at least one [[pool]]");
     }
+    // Nodes of one name would all ask the same replica.
+    if pools.iter().any(|pool| pool.source.has_replicas()) && !top.has("name") {
+        top.fault("name", "is missing: nodes spread over replicas of discovery by their names");
+    }
     let mut taken = BTreeSet::new();
     let classes = top.tables("class", |t| {
         let class = class(t, name(t, &mut taken));
--- a/crates/node/src/config/operator/discovery/tests.rs
+++ b/crates/node/src/config/operator/discovery/tests.rs
@@ -6,7 +6,8 @@
 
 /// The source of the one pool of a file with these lines in its `[[pool]]`.
 fn source(lines: &str) -> Source {
-    let text = format!("version = 1\n[[pool]]\nname = \"p\"\n{lines}[[class]]\nname = \"a\"\n");
+    let text =
+        format!("version = 1\nname = \"n0\"\n[[pool]]\nname = \"p\"\n{lines}[[class]]\nname = \"a\"\n");
     let config = operator::read("pinhead.toml", &text, Path::new("/")).expect("a file without fault");
     config.pools[0].source.clone()
 }
--- a/crates/node/src/daemon/change.rs
+++ b/crates/node/src/daemon/change.rs
@@ -163,7 +163,7 @@
     const CAPACITY: &str = "discovery_lines_per_second = 200\ndiscovery_call_lines = 2.5\n";
 
     fn config(text: &str) -> Config {
-        let text = format!("version = 1\nnodes = 3\nseed = 1\n{text}");
+        let text = format!("version = 1\nname = \"n0\"\nnodes = 3\nseed = 1\n{text}");
         operator::read("pinhead.toml", &text, Path::new("/")).expect("a file without fault")
     }
 
--- a/crates/node/src/daemon/pools/tests.rs
+++ b/crates/node/src/daemon/pools/tests.rs
@@ -55,8 +55,10 @@
         if self.backwards {
             pools.reverse();
         }
-        let text =
-            format!("version = 1\nseed = 1\n{}[[class]]\nname = \"a\"\npool = \"p\"\n", pools.concat());
+        let text = format!(
+            "version = 1\nname = \"n0\"\nseed = 1\n{}[[class]]\nname = \"a\"\npool = \"p\"\n",
+            pools.concat()
+        );
         operator::read("pinhead.toml", &text, Path::new("/"))
     }
 }
--- a/crates/node/tests/handover_replicas.rs
+++ b/crates/node/tests/handover_replicas.rs
@@ -20,7 +20,7 @@
     fn start(&self, replicas: &[&Discovery]) -> Node {
         let addresses: Vec<_> = replicas.iter().map(|replica| format!("\"{}\"", replica.address)).collect();
         let text = format!(
-            "version = 1\n[hand_over]\nsocket = \"n.sock\"\nprobation = \"100ms\"\n[[listener]]\n\
+            "version = 1\nname = \"n0\"\n[hand_over]\nsocket = \"n.sock\"\nprobation = \"100ms\"\n[[listener]]\n\
              name = \"clients\"\naddress = \"{}\"\n[[pool]]\nname = \"p\"\ndiscovery = [{}]\n\
              [[class]]\nname = \"read\"\neffect = \"safe\"\naim = \"5s\"\ndeadline = \"20s\"\n",
             self.clients,
--- a/crates/node/tests/operator_replicas.rs
+++ b/crates/node/tests/operator_replicas.rs
@@ -11,9 +11,9 @@
 /// As many replicas as a pool may name.
 const MOST: u16 = 64;
 
-/// A file whose one pool, from line 4 on, has these lines.
+/// A file whose one pool, from line 5 on, has these lines.
 fn file(lines: &str) -> String {
-    format!("version = 1\n[[pool]]\nname = \"p\"\n{lines}{CLASS}{CLIENTS}")
+    format!("version = 1\nname = \"n0\"\n[[pool]]\nname = \"p\"\n{lines}{CLASS}{CLIENTS}")
 }
 
 /// A `discovery` that names these addresses, each on a line of its own.
@@ -87,34 +87,34 @@
     let call =
         |value: &str| format!("{one}discovery_lines_per_second = 200\ndiscovery_call_lines = {value}\n");
     let mut cases = vec![
-        ("discovery = []\n".to_owned(), format!("4: pool[0].discovery: {or_list} a list of 0")),
-        (list(&loopback(1..=MOST + 1)), format!("4: pool[0].discovery: {or_list} a list of 65")),
-        ("discovery = 7100\n".to_owned(), format!("4: pool[0].discovery: {or_list} 7100")),
-        ("discovery = \"localhost\"\n".to_owned(), format!("4: pool[0].discovery: {or_list} \"localhost\"")),
-        (list(&["127.0.0.1:1", "127.0.0.1"]), format!("6: pool[0].discovery[1]: {entry} \"127.0.0.1\"")),
-        ("discovery = [\"127.0.0.1:1\",\n7]\n".to_owned(), format!("5: pool[0].discovery[1]: {entry} 7")),
+        ("discovery = []\n".to_owned(), format!("5: pool[0].discovery: {or_list} a list of 0")),
+        (list(&loopback(1..=MOST + 1)), format!("5: pool[0].discovery: {or_list} a list of 65")),
+        ("discovery = 7100\n".to_owned(), format!("5: pool[0].discovery: {or_list} 7100")),
+        ("discovery = \"localhost\"\n".to_owned(), format!("5: pool[0].discovery: {or_list} \"localhost\"")),
+        (list(&["127.0.0.1:1", "127.0.0.1"]), format!("7: pool[0].discovery[1]: {entry} \"127.0.0.1\"")),
+        ("discovery = [\"127.0.0.1:1\",\n7]\n".to_owned(), format!("6: pool[0].discovery[1]: {entry} 7")),
         (
             list(&["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:1"]),
-            "7: pool[0].discovery[2]: expected each once, found \"127.0.0.1:1\" again, which stands at \
+            "8: pool[0].discovery[2]: expected each once, found \"127.0.0.1:1\" again, which stands at \
              pool[0].discovery[0]"
                 .to_owned(),
         ),
         (
             format!("{one}discovery_lines_per_second = 200\n"),
-            "5: pool[0].discovery_lines_per_second: expected discovery_call_lines beside it".to_owned(),
+            "6: pool[0].discovery_lines_per_second: expected discovery_call_lines beside it".to_owned(),
         ),
         (
             format!("{one}discovery_call_lines = 10\n"),
-            "5: pool[0].discovery_call_lines: expected discovery_lines_per_second beside it".to_owned(),
+            "6: pool[0].discovery_call_lines: expected discovery_lines_per_second beside it".to_owned(),
         ),
-        (lines("0.99"), format!("5: pool[0].{lines_range} 0.99")),
-        (lines("100000001"), format!("5: pool[0].{lines_range} 100000001")),
-        (call("0.009"), format!("6: pool[0].{call_range} 0.009")),
-        (call("1000001"), format!("6: pool[0].{call_range} 1000001")),
+        (lines("0.99"), format!("6: pool[0].{lines_range} 0.99")),
+        (lines("100000001"), format!("6: pool[0].{lines_range} 100000001")),
+        (call("0.009"), format!("7: pool[0].{call_range} 0.009")),
+        (call("1000001"), format!("7: pool[0].{call_range} 1000001")),
     ];
     for bad in ["0", "0.0", "-200", "-0.5", "nan", "inf", "-inf", "1e400", "\"200\"", "true"] {
-        cases.push((lines(bad), format!("5: pool[0].{lines_range} {bad}")));
-        cases.push((call(bad), format!("6: pool[0].{call_range} {bad}")));
+        cases.push((lines(bad), format!("6: pool[0].{lines_range} {bad}")));
+        cases.push((call(bad), format!("7: pool[0].{call_range} {bad}")));
     }
     for (lines, expected) in cases {
         assert_eq!(check(&lines), Err(vec![format!("bad.toml:{expected}")]), "{lines}");
@@ -134,7 +134,7 @@
     let found = check(&format!("file = \"boxes.toml\"\n{CAPACITY}"));
     let fault =
         |line: u32, key: &str| format!("bad.toml:{line}: pool[0].{key}: expected discovery beside it");
-    assert_eq!(found, Err(vec![fault(5, "discovery_lines_per_second"), fault(6, "discovery_call_lines")]));
+    assert_eq!(found, Err(vec![fault(6, "discovery_lines_per_second"), fault(7, "discovery_call_lines")]));
 }
 
 #[test]
@@ -150,6 +150,16 @@
     assert_eq!(fields, expected, "{found:#?}");
 }
 
+// Guards against a fleet whose nodes all ask one replica: they spread by their names.
+#[test]
+fn a_node_needs_a_name_of_its_own_where_there_are_replicas_to_choose_from() {
+    let without = |lines: &str| check_text(&file(lines).replace("name = \"n0\"\n", ""));
+    let fault = "bad.toml:1: name: is missing: nodes spread over replicas of discovery by their names";
+    assert_eq!(without(&list(&loopback([1, 2]))), Err(vec![fault.to_owned()]));
+    assert!(without(&list(&loopback([1]))).is_ok());
+    assert!(without("discovery = \"127.0.0.1:1\"\n").is_ok());
+}
+
 /// A node that follows these replicas, and has been told their list.
 fn following(folder: &Folder, discovery: &Discovery, lines: &str) -> Node {
     let node = run(folder, &file(lines));
@@ -168,8 +178,8 @@
     let calls = discovery.calls();
     let twice = list(&[elsewhere.address, elsewhere.address]);
     let faulty = [
-        (twice, "pinhead.toml:6: pool[0].discovery[1]: expected each once"),
-        ("discovery = []\n".to_owned(), "pinhead.toml:4: pool[0].discovery: expected an address and port"),
+        (twice, "pinhead.toml:7: pool[0].discovery[1]: expected each once"),
+        ("discovery = []\n".to_owned(), "pinhead.toml:5: pool[0].discovery: expected an address and port"),
         (
             format!("{}discovery_call_lines = 1\n", list(&[elsewhere.address])),
             "pool[0].discovery_call_lines: expected discovery_lines_per_second beside it",
