Check what a watch goes on with when a reload names other replicas of discovery

With the client that knows replicas: others beside the one that is watched, another order, and a capacity leave the watch as it is; one that is taken out is followed by another from the version held; where none stays the whole list is asked for. The checks of files stay in operator_replicas.rs.

--- a/crates/node/tests/operator_replicas.rs
+++ b/crates/node/tests/operator_replicas.rs
@@ -1,19 +1,18 @@
-//! The replicas of a pool's discovery in an operator's file: what is a fault, what holds, and what a reload changes.
+//! The replicas of a pool's discovery in an operator's file: what is a fault, and what holds.
 
 mod common;
 
-use common::{command, run, wait_for, CacheServer, Discovery, Folder, Node};
+use common::{command, Folder};
 use std::net::SocketAddr;
 
 const CLASS: &str = "[[class]]\nname = \"read\"\neffect = \"safe\"\naim = \"5s\"\ndeadline = \"20s\"\n";
-const CLIENTS: &str = "[[listener]]\nname = \"clients\"\naddress = \"127.0.0.1:0\"\n";
 const CAPACITY: &str = "discovery_lines_per_second = 200\ndiscovery_call_lines = 10\n";
 /// As many replicas as a pool may name.
 const MOST: u16 = 64;
 
 /// A file whose one pool, from line 5 on, has these lines.
 fn file(lines: &str) -> String {
-    format!("version = 1\nname = \"n0\"\n[[pool]]\nname = \"p\"\n{lines}{CLASS}{CLIENTS}")
+    format!("version = 1\nname = \"n0\"\n[[pool]]\nname = \"p\"\n{lines}{CLASS}")
 }
 
 /// A `discovery` that names these addresses, each on a line of its own.
@@ -159,61 +158,3 @@
     assert!(without(&list(&loopback([1]))).is_ok());
     assert!(without("discovery = \"127.0.0.1:1\"\n").is_ok());
 }
-
-/// A node that follows these replicas, and has been told their list.
-fn following(folder: &Folder, discovery: &Discovery, lines: &str) -> Node {
-    let node = run(folder, &file(lines));
-    discovery.wait_until_told(1);
-    node
-}
-
-// Guards against half of a file that cannot be used being taken.
-#[test]
-fn a_faulty_reload_leaves_the_node_with_its_replicas_and_the_log_names_the_fault() {
-    let (server, other) = (CacheServer::serving("a"), CacheServer::serving("b"));
-    let discovery = Discovery::start(&[server.entry("a", "ready")]);
-    let elsewhere = Discovery::start(&[other.entry("b", "ready")]);
-    let folder = Folder::new();
-    let node = following(&folder, &discovery, &list(&[discovery.address]));
-    let calls = discovery.calls();
-    let twice = list(&[elsewhere.address, elsewhere.address]);
-    let faulty = [
-        (twice, "pinhead.toml:7: pool[0].discovery[1]: expected each once"),
-        ("discovery = []\n".to_owned(), "pinhead.toml:5: pool[0].discovery: expected an address and port"),
-        (
-            format!("{}discovery_call_lines = 1\n", list(&[elsewhere.address])),
-            "pool[0].discovery_call_lines: expected discovery_lines_per_second beside it",
-        ),
-    ];
-    for (number, (lines, why)) in faulty.iter().enumerate() {
-        node.reconfigure(&file(lines));
-        assert_eq!(node.said("configuration not taken: "), number + 1, "{lines}");
-        assert_eq!(node.said(why), 1, "{why}: {:?}", node.log.lock().unwrap());
-    }
-    assert_eq!((discovery.calls(), elsewhere.calls()), (calls, 0));
-    // The watch that was out is heard still.
-    discovery.tell(true, &[other.entry("b", "ready")]);
-    discovery.wait_until_told(2);
-    assert_eq!(node.read("read", 1).body, b"b");
-    assert_eq!((discovery.calls(), elsewhere.calls()), (calls + 1, 0));
-}
-
-#[test]
-fn the_same_replicas_in_another_order_change_nothing() {
-    let server = CacheServer::serving("a");
-    let hosts = [server.entry("a", "ready")];
-    let replicas = [Discovery::start(&hosts), Discovery::start(&hosts)];
-    let addresses = [replicas[0].address, replicas[1].address];
-    let folder = Folder::new();
-    let node = run(&folder, &file(&list(&addresses)));
-    let watches = |replica: &Discovery| {
-        replica.asked.lock().unwrap().iter().filter(|path| path.contains("after=1&")).count()
-    };
-    let all = || replicas.iter().map(watches).sum::<usize>();
-    wait_for("the watch at one of them", || all() == 1);
-    node.reconfigure(&file(&list(&[addresses[1], addresses[0]])));
-    assert_eq!(node.said("configuration read again: nothing changed"), 1);
-    assert_eq!(all(), 1);
-    // Each has been asked for no more than the list and the watch.
-    assert_eq!(replicas.iter().map(Discovery::calls).sum::<usize>(), 2);
-}
--- /dev/null
+++ b/crates/node/tests/reload_replicas.rs
@@ -0,0 +1,170 @@
+//! SIGHUP at a node whose file names other replicas of discovery: what its watch goes on with, and what begins anew.
+
+mod common;
+
+use common::{run, wait_for, CacheServer, Discovery, Folder, Node};
+use std::net::SocketAddr;
+
+const CLIENTS: &str = "[[listener]]\nname = \"clients\"\naddress = \"127.0.0.1:0\"\n";
+const CLASS: &str = "[[class]]\nname = \"read\"\neffect = \"safe\"\naim = \"5s\"\ndeadline = \"20s\"\n";
+const CAPACITY: &str = "discovery_lines_per_second = 200\ndiscovery_call_lines = 10\n";
+
+/// A file whose one pool, from line 5 on, has these lines.
+fn file(lines: &str) -> String {
+    format!("version = 1\nname = \"n0\"\n[[pool]]\nname = \"p\"\n{lines}{CLASS}{CLIENTS}")
+}
+
+/// A `discovery` that names these addresses, each on a line of its own.
+fn list(addresses: &[SocketAddr]) -> String {
+    let addresses: Vec<_> = addresses.iter().map(|address| format!("\"{address}\"")).collect();
+    format!("discovery = [\n{}]\n", addresses.join(",\n"))
+}
+
+/// Calls for changes after this version, at all of these replicas.
+fn watches(replicas: &[Discovery], version: u64) -> usize {
+    replicas.iter().map(|replica| watches_at(replica, version)).sum()
+}
+
+fn watches_at(replica: &Discovery, version: u64) -> usize {
+    let prefix = format!("/v1/servers?after={version}&");
+    replica.asked.lock().unwrap().iter().filter(|path| path.starts_with(&prefix)).count()
+}
+
+fn whole_lists(replicas: &[Discovery]) -> usize {
+    let lists = |replica: &Discovery| {
+        replica.asked.lock().unwrap().iter().filter(|path| *path == "/v1/servers").count()
+    };
+    replicas.iter().map(lists).sum()
+}
+
+fn calls(replicas: &[Discovery]) -> usize {
+    replicas.iter().map(Discovery::calls).sum()
+}
+
+/// Replicas of one service, which tells of this server.
+fn service<const COUNT: usize>(server: &CacheServer) -> [Discovery; COUNT] {
+    [(); COUNT].map(|()| Discovery::start(&[server.entry("box", "ready")]))
+}
+
+/// A node that watches one of these replicas, and the place of that one. Whole list and watch are all that it has asked.
+fn watching(folder: &Folder, replicas: &[Discovery]) -> (Node, usize) {
+    let node = run(folder, &file(&list(&addresses(replicas))));
+    wait_for("the watch at one of them", || watches(replicas, 1) == 1);
+    assert_eq!(calls(replicas), 2);
+    let current = replicas.iter().position(|replica| replica.calls() == 2);
+    (node, current.expect("list and watch at the same replica"))
+}
+
+fn addresses(replicas: &[Discovery]) -> Vec<SocketAddr> {
+    replicas.iter().map(|replica| replica.address).collect()
+}
+
+// Guards against half of a file that cannot be used being taken.
+#[test]
+fn a_faulty_reload_leaves_the_node_with_its_replicas_and_the_log_names_the_fault() {
+    let (server, other) = (CacheServer::serving("a"), CacheServer::serving("b"));
+    let discovery = Discovery::start(&[server.entry("a", "ready")]);
+    let elsewhere = Discovery::start(&[other.entry("b", "ready")]);
+    let folder = Folder::new();
+    let node = run(&folder, &file(&list(&[discovery.address])));
+    discovery.wait_until_told(1);
+    let calls = discovery.calls();
+    let twice = list(&[elsewhere.address, elsewhere.address]);
+    let faulty = [
+        (twice, "pinhead.toml:7: pool[0].discovery[1]: expected each once"),
+        ("discovery = []\n".to_owned(), "pinhead.toml:5: pool[0].discovery: expected an address and port"),
+        (
+            format!("{}discovery_call_lines = 1\n", list(&[elsewhere.address])),
+            "pool[0].discovery_call_lines: expected discovery_lines_per_second beside it",
+        ),
+    ];
+    for (number, (lines, why)) in faulty.iter().enumerate() {
+        node.reconfigure(&file(lines));
+        assert_eq!(node.said("configuration not taken: "), number + 1, "{lines}");
+        assert_eq!(node.said(why), 1, "{why}: {:?}", node.log.lock().unwrap());
+    }
+    assert_eq!((discovery.calls(), elsewhere.calls()), (calls, 0));
+    // The watch that was out is heard still.
+    discovery.tell(true, &[other.entry("b", "ready")]);
+    discovery.wait_until_told(2);
+    assert_eq!(node.read("read", 1).body, b"b");
+    assert_eq!((discovery.calls(), elsewhere.calls()), (calls + 1, 0));
+}
+
+#[test]
+fn the_same_replicas_in_another_order_change_nothing() {
+    let (server, folder) = (CacheServer::serving("a"), Folder::new());
+    let replicas: [_; 2] = service(&server);
+    let (node, current) = watching(&folder, &replicas);
+    let mut addresses = addresses(&replicas);
+    addresses.reverse();
+    node.reconfigure(&file(&list(&addresses)));
+    assert_eq!(node.said("configuration read again: nothing changed"), 1);
+    still_watches(&node, &replicas, current);
+}
+
+#[test]
+fn replicas_beside_the_one_that_is_watched_come_and_go_and_its_watch_goes_on() {
+    let (server, folder) = (CacheServer::serving("a"), Folder::new());
+    let replicas: [_; 2] = service(&server);
+    let (node, current) = watching(&folder, &replicas);
+    let added: [_; 3] = service(&server);
+    let more = [addresses(&replicas), addresses(&added)].concat();
+    node.reconfigure(&file(&list(&more)));
+    node.reconfigure(&file(&list(&[replicas[current].address])));
+    node.reconfigure(&file(&list(&addresses(&replicas))));
+    assert_eq!(node.said("configuration read again: pool p: list from discovery at "), 3);
+    assert_eq!(calls(&added), 0);
+    still_watches(&node, &replicas, current);
+}
+
+#[test]
+fn a_capacity_that_is_stated_or_taken_away_leaves_the_watch_as_it_is() {
+    let (server, folder) = (CacheServer::serving("a"), Folder::new());
+    let replicas: [_; 2] = service(&server);
+    let (node, current) = watching(&folder, &replicas);
+    let without = list(&addresses(&replicas));
+    node.reconfigure(&file(&format!("{without}{CAPACITY}")));
+    node.reconfigure(&file(&without));
+    for words in ["discovery of 200 lines a second and 10 a call", "discovery of unknown capacity"] {
+        assert_eq!(node.said(&format!("configuration read again: pool p: {words}")), 1, "{words}");
+    }
+    still_watches(&node, &replicas, current);
+}
+
+/// The one watch of a node that asked for nothing but list and watch is the one that is heard next.
+fn still_watches(node: &Node, replicas: &[Discovery], current: usize) {
+    assert_eq!((calls(replicas), watches_at(&replicas[current], 1)), (2, 1));
+    let other = CacheServer::serving("other");
+    replicas[current].tell(true, &[other.entry("other", "ready")]);
+    replicas[current].wait_until_told(2);
+    assert_eq!(node.read("read", 1).body, b"other");
+    assert_eq!(calls(replicas), 3);
+}
+
+// Guards against a whole list for every node whenever a replica is taken out.
+#[test]
+fn a_node_whose_replica_is_taken_out_watches_another_one_from_the_version_that_it_holds() {
+    let (server, folder) = (CacheServer::serving("a"), Folder::new());
+    let replicas: [_; 3] = service(&server);
+    let (node, current) = watching(&folder, &replicas);
+    let rest: Vec<_> =
+        addresses(&replicas).into_iter().filter(|address| *address != replicas[current].address).collect();
+    node.reconfigure(&file(&list(&rest)));
+    wait_for("the watch at another one", || watches(&replicas, 1) == 2);
+    // The one that was taken out is asked no more, and no list is asked for again.
+    assert_eq!((replicas[current].calls(), whole_lists(&replicas)), (2, 1));
+    assert_eq!(node.read("read", 1).body, b"a");
+}
+
+#[test]
+fn where_no_replica_stays_the_whole_list_is_asked_for() {
+    let ((server, other), folder) = ((CacheServer::serving("a"), CacheServer::serving("b")), Folder::new());
+    let replicas: [_; 2] = service(&server);
+    let (node, _) = watching(&folder, &replicas);
+    let elsewhere: [_; 2] = service(&other);
+    node.reconfigure(&file(&list(&addresses(&elsewhere))));
+    wait_for("the watch elsewhere", || watches(&elsewhere, 1) == 1);
+    assert_eq!((calls(&replicas), whole_lists(&elsewhere)), (2, 1));
+    assert_eq!(node.read("read", 1).body, b"b");
+}
