--- a/crates/node/src/daemon/pools.rs
+++ b/crates/node/src/daemon/pools.rs
@@ -204,7 +204,7 @@
 }
 
 impl List {
-    /// `membership` knows what the driver of this node's pool holds of a discovery's list.
+    /// `membership` knows what the driver holds of a discovery's list, and `node` is the name of the node that asks.
     fn begin(
         node: &str,
         source: &Source,
--- a/crates/node/tests/operator_replicas.rs
+++ b/crates/node/tests/operator_replicas.rs
@@ -4,6 +4,7 @@
 
 use common::{command, Folder};
 use std::net::SocketAddr;
+use std::path::Path;
 
 const CLASS: &str = "[[class]]\nname = \"read\"\neffect = \"safe\"\naim = \"5s\"\ndeadline = \"20s\"\n";
 const CAPACITY: &str = "discovery_lines_per_second = 200\ndiscovery_call_lines = 10\n";
@@ -66,6 +67,21 @@
     assert!(effective.contains(expected), "{effective}");
 }
 
+// Guards against an example that cannot be used once its comment signs are taken away.
+#[test]
+fn the_replicas_that_the_example_shows_in_comments_are_without_fault() {
+    let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/pinhead.toml");
+    let example = std::fs::read_to_string(example).unwrap();
+    let replicas: Vec<_> = example.lines().filter_map(|line| line.strip_prefix("# discovery")).collect();
+    assert_eq!(replicas.len(), 3, "{replicas:?}");
+    let lines = replicas.iter().map(|rest| format!("discovery{rest}\n")).collect::<String>();
+    let effective = check(&lines).expect("an example without fault");
+    assert!(
+        effective.contains("\"127.0.0.1:7102\",\n]\ndiscovery_lines_per_second = 200.0\n"),
+        "{effective}"
+    );
+}
+
 #[test]
 fn a_list_of_one_says_what_one_address_says() {
     let one = check("discovery = \"127.0.0.1:1\"\n").unwrap();
