--- a/crates/decide/tests/replica_load.rs
+++ b/crates/decide/tests/replica_load.rs
@@ -45,6 +45,8 @@
     mode: Mode,
     /// What a refused call costs, of [`Capacity::call_lines`].
     refusal_cost: f64,
+    /// This replica refuses connections, and only the nodes ask whose first choice it is.
+    lost: Option<usize>,
 }
 
 /// What came of it.
@@ -74,6 +76,9 @@
             random: fastrand::Rng::with_seed(random.u64(..)),
         })
         .collect();
+    if let Some(lost) = fleet.lost {
+        nodes.retain(|node| node.client.replicas().current() == lost);
+    }
     let mut agenda: BinaryHeap<_> =
         (0..nodes.len()).map(|node| Reverse((random.u64(0..1_000_000), node))).collect();
     let (mut free, mut sending) = (vec![0.0_f64; fleet.replicas], vec![0.0; fleet.replicas]);
@@ -94,16 +99,18 @@
         };
         let replica = node.client.replicas().current();
         let turn = free[replica].max(now) + call_time;
-        if turn - now <= QUEUE_LIMIT {
+        let reached = fleet.lost != Some(replica);
+        if reached && turn - now <= QUEUE_LIMIT {
             free[replica] = turn + answer_time;
             sending[replica] += call_time + answer_time;
             last = last.max(free[replica]);
             continue;
         }
         free[replica] += call_time * fleet.refusal_cost;
+        let took = Duration::from_millis(1);
         let call = node.client.call(pace, news.is_some(), node.random.f64());
         let jitter = Jitter { pause: node.random.f64(), hold_down: node.random.f64() };
-        let end = CallEnd::Refused { took: Duration::from_millis(1) };
+        let end = if reached { CallEnd::Refused { took } } else { CallEnd::Other(End::Unreached { took }) };
         let next = node.client.ended(Timestamp::from_micros(at), pace, call, end, news.is_some(), jitter);
         agenda.push(Reverse((at + 1_000 + next.pause.as_micros() as u64, place)));
     }
@@ -149,7 +156,7 @@
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     let mut outcomes = Vec::new();
     for (nodes, asking, replicas, lines) in fleets() {
-        let fleet = |mode| Fleet { nodes, asking, replicas, lines, mode, refusal_cost };
+        let fleet = |mode| Fleet { nodes, asking, replicas, lines, mode, refusal_cost, lost: None };
         let [(all, _, calls_all), (shared, _, calls_shared), (stated, busiest, calls)] =
             [Mode::AllNodes, Mode::Replicas, Mode::Capacity].map(|mode| worst(fleet(mode), news));
         println!("| {nodes} | {asking} | {replicas} | {lines} | {all:.2} | {calls_all:.0} | {shared:.2} | {calls_shared:.0} | {stated:.2} | {busiest:.2} | {calls:.0} |");
@@ -182,8 +189,15 @@
         );
         println!("| --- | --- | --- | --- |");
         for nodes in [1, 20, 60, 100, 200, 369, 900, 2_000] {
-            let fleet =
-                Fleet { nodes, asking: nodes, replicas: 1, lines: LINES, mode: Mode::Capacity, refusal_cost };
+            let fleet = Fleet {
+                nodes,
+                asking: nodes,
+                replicas: 1,
+                lines: LINES,
+                mode: Mode::Capacity,
+                refusal_cost,
+                lost: None,
+            };
             let (last, _, calls) = worst(fleet, Some(1));
             println!("| {nodes} | {refusal_cost} | {last:.2} | {calls:.1} |");
             let least = f64::from(nodes) * 11.0 / CAPACITY.lines_per_second;
@@ -248,3 +262,26 @@
         assert!(share * call_time <= 0.2501 * hold_down && hold_down >= 30.0, "{hold_down}");
     }
 }
+
+// A change is in force everywhere within 11 s: also where the replica that would have told it is lost at that moment.
+#[test]
+fn nodes_of_a_lost_replica_hear_from_its_neighbours_in_time() {
+    println!("| fleet | replicas | last of the lost one's nodes has the news after | calls a node |");
+    println!("| --- | --- | --- | --- |");
+    for (nodes, replicas, most) in [(100, 2, 5.0), (1_000, 4, 11.0), (2_000, 8, 5.0), (5_900, 16, 5.0)] {
+        let fleet = Fleet {
+            nodes,
+            asking: nodes,
+            replicas,
+            lines: LINES,
+            mode: Mode::Capacity,
+            refusal_cost: 0.0,
+            lost: Some(0),
+        };
+        let outcomes: Vec<_> = (0..5).map(|seed| play(fleet, Some(1), seed)).collect();
+        let last = outcomes.iter().map(|one| one.last).fold(0.0, f64::max);
+        let calls = outcomes.iter().map(|one| one.calls).fold(0.0, f64::max);
+        println!("| {nodes} | {replicas} | {last:.1} s | {calls:.1} |");
+        assert!(last <= most, "{fleet:?}: {last}");
+    }
+}
