--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -8,6 +8,8 @@
 //! [`asking`] tells when a node asks discovery, and when a watch is dead.
 //! [`membership`] tells which lists of discovery's are taken.
 //! [`hot_keys`] has the replication factor of a key.
+//! [`replicas`] tells which replica of discovery a node asks, [`share`] what one can do for its share of the nodes, and
+//! [`discovery_client`] puts both together with [`asking`].
 //! [`supervise`] keeps a fleet of instances going. [`platform`] reads settings and load reports as the platform words them.
 
 pub mod admission;
@@ -15,6 +17,7 @@
 pub mod asking;
 pub mod balance;
 pub mod events;
+pub mod discovery_client;
 pub mod handover;
 mod hashing;
 pub mod hot_keys;
@@ -26,6 +29,8 @@
 pub mod requests;
 pub mod servers;
 pub mod settings;
+pub mod replicas;
+pub mod share;
 pub mod supervise;
 pub mod time;
 
--- a/crates/node/src/config/operator.rs
+++ b/crates/node/src/config/operator.rs
@@ -2,6 +2,8 @@
 //!
 //! All faults are found in one reading, each with its line and what was expected: serde would stop at the first one.
 
+mod discovery;
+
 use super::{Config, HandOver, Listener, Pool, Source, LEAST_DESCRIPTORS};
 use crate::listing::{Host, Listing};
 use checked_toml::{time_text, Document, Fault, Table};
@@ -28,6 +30,8 @@
 const MOST_NODES: u64 = 10_000;
 const TIME: RangeInclusive<Duration> = Duration::from_millis(1)..=Duration::from_secs(3_600);
 const SHARE: RangeInclusive<f64> = 0.0..=1.0;
+/// A node goes by this where its file has no name.
+const DEFAULT_NAME: &str = "pinhead";
 const NAME: &str = "a name of up to 64 letters, digits, '-', '_' and '.'";
 
 /// Why a file is of no use.
@@ -98,7 +102,7 @@
 
 fn config(top: &Table, folder: &Path) -> Config {
     version(top);
-    let name_of_node = top.text("name", NAME, named).unwrap_or_else(|| "pinhead".into());
+    let name_of_node = top.text("name", NAME, named).unwrap_or_else(|| DEFAULT_NAME.into());
     let base = Settings {
         cancelling: true,
         second_copies: true,
@@ -127,6 +131,10 @@
     if pools.is_empty() {
         top.fault("pool", "expected at least one [[pool]]");
     }
+    // Nodes of one name would all ask the same replica.
+    if pools.iter().any(|pool| pool.source.has_replicas()) && !top.has("name") {
+        top.fault("name", "is missing: nodes spread over replicas of discovery by their names");
+    }
     let mut taken = BTreeSet::new();
     let classes = top.tables("class", |t| {
         let class = class(t, name(t, &mut taken));
@@ -203,7 +211,7 @@
 }
 
 fn pool(t: &Table, name: String, base: &Settings, folder: &Path) -> Pool {
-    let discovery = t.parse("discovery", "an address and port, such as \"127.0.0.1:7100\"");
+    let discovery = discovery::read(t);
     let file = t.text("file", "the path of a file", |path| !path.is_empty());
     let hosts = servers(t);
     let told = usize::from(t.has("discovery")) + usize::from(t.has("file")) + usize::from(t.has("server"));
@@ -297,7 +305,7 @@
     for pool in &config.pools {
         writeln!(text, "\n[[pool]]\nname = \"{}\"", pool.name)?;
         match &pool.source {
-            Source::Discovery(address) => writeln!(text, "discovery = \"{address}\"")?,
+            Source::Discovery(replicas) => discovery::write(text, replicas)?,
             Source::File(path) => writeln!(text, "file = {:?}", path.display().to_string())?,
             Source::Fixed => {}
         }
