Add one replica of the stand-in discovery and hollow nodes as processes of a scale run

A scale run needs discovery by replicas of a stated capacity, and hundreds of nodes that cost it what real ones do.

`pinhead scale-replica` answers whole lists and watches over HTTP/1.1 through one queue of so many lines a second, and is away, silent, or reset to another list on command. How a call is worded is read in one place, for the stand-in of rehearsals too. `pinhead scale-hollow` runs the real client of discovery, driver and decisions of each node on one thread; the driver tells an observer of each list right after the decisions had it.

--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -69,6 +69,25 @@
     Guard(RequestId),
 }
 
+/// What came of a call to discovery, once the module has had it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// A list was taken.
+    List {
+        /// Its version.
+        version: u64,
+        /// It was the whole list.
+        whole: bool,
+        /// Entries in it.
+        entries: usize,
+    },
+    /// None was.
+    CallFailed,
+}
+
+/// Is told what was heard.
+pub type Observer = Box<dyn Fn(Heard)>;
+
 /// See the module's page.
 pub struct Driver {
     balancer: Balancer,
@@ -83,6 +102,7 @@
     listing: Listing,
     retired: bool,
     tally: Tally,
+    observer: Option<Observer>,
 }
 
 impl Driver {
@@ -106,9 +126,15 @@
             listing: Listing::default(),
             retired: false,
             tally,
+            observer: None,
         }
     }
 
+    /// Has this observer told of each list and each call that failed, right after the module had it.
+    pub fn observed(self, observer: Observer) -> Self {
+        Self { observer: Some(observer), ..self }
+    }
+
     /// Runs for as long as the node does, or until it is retired and all that was taken is finished.
     pub async fn run(mut self, known: Listing, mut inputs: UnboundedReceiver<Input>) {
         let entries = self.learn(&Listing { whole: true, ..known });
@@ -124,12 +150,25 @@
             };
             tokio::select! {
                 input = inputs.recv() => match input {
-                    Some(input) => self.take(input),
+                    Some(input) => {
+                        let heard = heard(&input);
+                        self.take(input);
+                        self.handle_due();
+                        self.tell_observer(heard);
+                    }
                     None => return,
                 },
-                () = timer => self.ring(),
+                () = timer => {
+                    self.ring();
+                    self.handle_due();
+                }
             }
-            self.handle_due();
+        }
+    }
+
+    fn tell_observer(&self, heard: Option<Heard>) {
+        if let (Some(observer), Some(heard)) = (&self.observer, heard) {
+            observer(heard);
         }
     }
 
@@ -377,6 +416,17 @@
     }
 }
 
+/// What an input says of a call to discovery, if it comes of one.
+fn heard(input: &Input) -> Option<Heard> {
+    match input {
+        Input::Listing(listing) => {
+            Some(Heard::List { version: listing.seq, whole: listing.whole, entries: listing.hosts.len() })
+        }
+        Input::ListingFailed => Some(Heard::CallFailed),
+        _ => None,
+    }
+}
+
 fn reply(open: &mut Open, answer: Answer) {
     open.message.owed.end();
     if let Some(sender) = open.answer.take() {
--- /dev/null
+++ b/crates/node/src/hollow/record.rs
@@ -0,0 +1,35 @@
+//! What the hollow nodes of this process did since the last report.
+
+use crate::driver::Heard;
+use rig::scale::messages::{Applied, HollowReport};
+use std::cell::RefCell;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Kept by all of them together.
+#[derive(Debug, Default)]
+pub struct Record(RefCell<HollowReport>);
+
+impl Record {
+    /// Notes what a node's decisions just had. An answer that told nothing new is no list.
+    pub fn note(&self, node: u32, heard: Heard) {
+        let mut report = self.0.borrow_mut();
+        match heard {
+            Heard::List { version, whole, entries } if whole || entries > 0 => {
+                report.applied.push(Applied { node, version, at_us: now_us(), whole });
+            }
+            Heard::List { .. } => {}
+            Heard::CallFailed => report.failed_calls += 1,
+        }
+    }
+
+    /// What was noted, which is not given again.
+    pub fn take(&self) -> HollowReport {
+        self.0.take()
+    }
+}
+
+/// Microseconds of Unix time.
+fn now_us() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod fronts;
 mod handover;
+mod hollow;
 mod input;
 mod list_file;
 mod listing;
@@ -55,6 +56,12 @@
     Count(count::Arguments),
     /// Plays an incident with the real decisions, and judges it
     Rehearse(rehearse::Arguments),
+    /// One replica of the stand-in discovery of a scale run
+    #[command(hide = true)]
+    ScaleReplica,
+    /// Hollow nodes of a scale run
+    #[command(hide = true)]
+    ScaleHollow,
 }
 
 /// A file that cannot be used.
@@ -67,6 +74,8 @@
         Some(Command::Check { file }) => check(&file),
         Some(Command::Run { config, with_parent }) => served(daemon::start_from(&config, with_parent)),
         Some(Command::Fleet(arguments)) => fleet::run(arguments),
+        Some(Command::ScaleReplica) => served(rig::scale::replica::run().map_err(Into::into)),
+        Some(Command::ScaleHollow) => served(hollow::run().map_err(Into::into)),
         None => served(daemon::start()),
     }
 }
--- /dev/null
+++ b/crates/node/tests/hollow.rs
@@ -0,0 +1,344 @@
+//! A process of hollow nodes against replicas of the stand-in discovery, as a scale run starts and commands them.
+
+mod common;
+
+use common::{command, wait_for, PATIENCE};
+use rig::scale::messages::{
+    Answering, Applied, HollowCommand, HollowEvent, HollowReport, ListedServer, ReplicaCapacity,
+    ReplicaCommand, ReplicaEvent, ReplicaReport,
+};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::cell::RefCell;
+use std::io::{BufRead, BufReader, Write};
+use std::marker::PhantomData;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::process::{Child, ChildStdin, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::thread;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// The version that lists begin with.
+const FIRST: u64 = 100;
+const FIRST_NODE: u32 = 40;
+const NODES: u32 = 8;
+const CAPACITY: ReplicaCapacity = ReplicaCapacity {
+    lines_per_second: 1e6,
+    call_lines: 10.0,
+    continued_call_lines: 1.0,
+    queue_limit_ms: 3_000,
+};
+
+/// A process that is told commands and tells events, a line each.
+struct Process<C, E> {
+    child: Child,
+    commands: Option<ChildStdin>,
+    events: Receiver<E>,
+    /// What it said on standard error.
+    errors: thread::JoinHandle<String>,
+    told: PhantomData<C>,
+}
+
+impl<C: Serialize, E: DeserializeOwned + Send + 'static> Process<C, E> {
+    fn start(subcommand: &str, first: &C) -> Self {
+        let mut command = command();
+        command.arg(subcommand).stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        let lines = BufReader::new(child.stdout.take().unwrap()).lines();
+        let (sender, events) = channel();
+        thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                // A test that has ended hears nothing any more.
+                let _ = sender.send(serde_json::from_str(&line).unwrap());
+            }
+        });
+        let mut errors = child.stderr.take().unwrap();
+        let errors = thread::spawn(move || std::io::read_to_string(&mut errors).unwrap());
+        let commands = child.stdin.take();
+        let mut process = Self { child, commands, events, errors, told: PhantomData };
+        process.tell(first);
+        process
+    }
+
+    fn tell(&mut self, command: &C) {
+        let mut line = serde_json::to_vec(command).unwrap();
+        line.push(b'\n');
+        self.commands.as_mut().unwrap().write_all(&line).unwrap();
+    }
+
+    fn event(&self) -> E {
+        self.events.recv_timeout(PATIENCE).expect("an event")
+    }
+
+    /// Waits for its end, after its input has ended: whether it went well, and what it said.
+    fn ended(mut self) -> (bool, String) {
+        self.commands = None;
+        let status = self.child.wait().unwrap();
+        let errors = std::mem::replace(&mut self.errors, thread::spawn(String::new));
+        (status.success(), errors.join().unwrap())
+    }
+}
+
+impl<C, E> Drop for Process<C, E> {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+struct Replica {
+    process: RefCell<Process<ReplicaCommand, ReplicaEvent>>,
+    address: SocketAddr,
+}
+
+impl Replica {
+    fn start(version: u64, servers: u32) -> Self {
+        let process = Process::start(
+            "scale-replica",
+            &ReplicaCommand::Start {
+                listen: (Ipv4Addr::LOCALHOST, 0).into(),
+                capacity: CAPACITY,
+                version,
+                servers: list(servers),
+            },
+        );
+        let ReplicaEvent::Listening { address } = process.event() else { panic!("expected an address") };
+        Self { process: RefCell::new(process), address }
+    }
+
+    fn tell(&self, command: &ReplicaCommand) {
+        self.process.borrow_mut().tell(command);
+    }
+
+    fn change(&self, version: u64, number: u32, health: &str) {
+        self.tell(&ReplicaCommand::Change { version, server: server(number, health) });
+    }
+
+    fn report(&self) -> ReplicaReport {
+        self.tell(&ReplicaCommand::Report);
+        match self.process.borrow().event() {
+            ReplicaEvent::Report(report) => report,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn wait_for_calls(&self, calls: u64) {
+        wait_for("calls", || self.report().calls >= calls);
+    }
+}
+
+/// A process of hollow nodes, with all that it has reported so far.
+struct Hollow {
+    process: RefCell<Process<HollowCommand, HollowEvent>>,
+    report: RefCell<HollowReport>,
+}
+
+impl Hollow {
+    /// Nodes that know this list, or none.
+    fn start(replicas: Vec<SocketAddr>, version: Option<u64>, servers: u32) -> Self {
+        let process = Process::start("scale-hollow", &start(replicas, version, servers));
+        assert_eq!(process.event(), HollowEvent::Started);
+        Self { process: RefCell::new(process), report: RefCell::default() }
+    }
+
+    fn tell(&self, command: &HollowCommand) {
+        self.process.borrow_mut().tell(command);
+    }
+
+    /// All that was reported so far. A process that has answered has carried out all commands before.
+    fn report(&self) -> HollowReport {
+        self.tell(&HollowCommand::Report);
+        let HollowEvent::Report(new) = self.process.borrow().event() else { panic!("expected a report") };
+        let mut report = self.report.borrow_mut();
+        report.applied.extend(new.applied);
+        report.failed_calls += new.failed_calls;
+        report.clone()
+    }
+
+    /// Waits until nodes have acted on this many lists in all.
+    fn wait_for_lists(&self, count: usize) -> Vec<Applied> {
+        wait_for("lists", || self.report().applied.len() >= count);
+        let applied = self.report.borrow().applied.clone();
+        assert_eq!(applied.len(), count, "{applied:?}");
+        applied
+    }
+
+    /// Waits until each of these nodes holds this version.
+    fn wait_for_version(&self, nodes: impl Iterator<Item = u32> + Clone, version: u64) {
+        wait_for("a version", || {
+            let applied = self.report().applied;
+            nodes.clone().all(|node| applied.iter().any(|list| (list.node, list.version) == (node, version)))
+        });
+    }
+}
+
+fn start(replicas: Vec<SocketAddr>, version: Option<u64>, servers: u32) -> HollowCommand {
+    HollowCommand::Start {
+        first: FIRST_NODE,
+        count: NODES,
+        fleet: 20,
+        replicas,
+        capacity: Some(CAPACITY),
+        version,
+        servers: list(servers),
+        seed: 7,
+        zones: vec!["a".into(), "b".into()],
+    }
+}
+
+fn server(number: u32, health: &str) -> ListedServer {
+    ListedServer {
+        host: format!("s-{number}"),
+        dial: SocketAddr::from(([127, 0, 0, 1], 7070)),
+        site: "a".into(),
+        class: "m2".into(),
+        block: 3,
+        health: health.into(),
+        share: 1.0,
+        born_ms: 0,
+    }
+}
+
+fn list(servers: u32) -> Vec<ListedServer> {
+    (0..servers).map(|number| server(number, "ready")).collect()
+}
+
+fn nodes() -> std::ops::Range<u32> {
+    FIRST_NODE..FIRST_NODE + NODES
+}
+
+fn now_us() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_micros() as u64
+}
+
+#[test]
+fn nodes_that_know_a_list_act_on_each_change_in_its_order() {
+    let replica = Replica::start(FIRST, 10);
+    let hollow = Hollow::start(vec![replica.address], Some(FIRST), 10);
+    replica.wait_for_calls(NODES.into());
+    let changes = [(FIRST + 1, 3, "draining"), (FIRST + 2, 3, "gone"), (FIRST + 7, 11, "ready")];
+    let mut times = vec![now_us()];
+    for (number, (version, server, health)) in changes.into_iter().enumerate() {
+        replica.change(version, server, health);
+        hollow.wait_for_lists(NODES as usize * (number + 1));
+        times.push(now_us());
+        // They watch again.
+        replica.wait_for_calls(u64::from(NODES) * (number as u64 + 2));
+    }
+    let applied = hollow.report().applied;
+    for node in nodes() {
+        let lists: Vec<_> = applied.iter().filter(|list| list.node == node).collect();
+        let versions: Vec<_> = lists.iter().map(|list| (list.version, list.whole)).collect();
+        assert_eq!(versions, changes.map(|(version, ..)| (version, false)), "node {node}");
+        for (list, between) in lists.iter().zip(times.windows(2)) {
+            assert!(between[0] <= list.at_us && list.at_us <= between[1], "{list:?} {times:?}");
+        }
+    }
+    let report = replica.report();
+    assert_eq!((report.whole_lists, report.refused), (0, 0));
+    assert_eq!(hollow.report().failed_calls, 0);
+}
+
+#[test]
+fn nodes_without_a_list_ask_for_the_whole_one() {
+    let replica = Replica::start(FIRST, 30);
+    let hollow = Hollow::start(vec![replica.address], None, 0);
+    let applied = hollow.wait_for_lists(NODES as usize);
+    assert!(applied.iter().all(|list| list.whole && list.version == FIRST), "{applied:?}");
+    let mut told: Vec<_> = applied.iter().map(|list| list.node).collect();
+    told.sort_unstable();
+    assert_eq!(told, Vec::from_iter(nodes()));
+    // Each on a connection of its own, which its watch goes on with.
+    replica.wait_for_calls(u64::from(NODES) * 2);
+    let report = replica.report();
+    assert_eq!((report.calls, report.whole_lists), (u64::from(NODES) * 2, NODES.into()));
+    assert_eq!(report.lines, f64::from(NODES) * (10.0 + 30.0 + 10.0));
+}
+
+#[test]
+fn killed_nodes_are_told_nothing_and_start_anew_without_a_list() {
+    let replica = Replica::start(FIRST, 10);
+    let hollow = Hollow::start(vec![replica.address], Some(FIRST), 10);
+    replica.wait_for_calls(NODES.into());
+    let killed = vec![FIRST_NODE, FIRST_NODE + 5];
+    hollow.tell(&HollowCommand::Kill { nodes: killed.clone() });
+    hollow.report();
+    replica.change(FIRST + 1, 3, "draining");
+    let up = NODES as usize - killed.len();
+    let applied = hollow.wait_for_lists(up);
+    assert!(applied.iter().all(|list| !killed.contains(&list.node) && !list.whole), "{applied:?}");
+    hollow.tell(&HollowCommand::Launch { nodes: killed.clone() });
+    let applied = hollow.wait_for_lists(up + killed.len());
+    let new: Vec<_> = applied[up..].iter().map(|list| (list.version, list.whole)).collect();
+    assert_eq!(new, [(FIRST + 1, true); 2]);
+    assert!(applied[up..].iter().all(|list| killed.contains(&list.node)), "{applied:?}");
+    // One that is up starts anew too, and all of them go on.
+    hollow.tell(&HollowCommand::Launch { nodes: vec![FIRST_NODE + 1] });
+    let applied = hollow.wait_for_lists(up + killed.len() + 1);
+    assert_eq!(applied.last().map(|list| (list.node, list.whole)), Some((FIRST_NODE + 1, true)));
+    replica.change(FIRST + 2, 3, "gone");
+    hollow.wait_for_version(nodes(), FIRST + 2);
+    assert_eq!(hollow.report().failed_calls, 0);
+}
+
+#[test]
+fn calls_that_fail_are_counted_and_what_came_meanwhile_is_heard() {
+    let replica = Replica::start(FIRST, 10);
+    let hollow = Hollow::start(vec![replica.address], Some(FIRST), 10);
+    replica.wait_for_calls(NODES.into());
+    replica.tell(&ReplicaCommand::Answer { answering: Answering::Away });
+    // Every watch was broken off.
+    wait_for("calls that fail", || hollow.report().failed_calls >= NODES.into());
+    replica.change(FIRST + 1, 3, "draining");
+    replica.tell(&ReplicaCommand::Answer { answering: Answering::Up });
+    hollow.wait_for_version(nodes(), FIRST + 1);
+    assert!(hollow.report().applied.iter().all(|list| !list.whole));
+}
+
+#[test]
+fn other_replicas_are_asked_from_then_on() {
+    let (before, after) = (Replica::start(FIRST, 10), Replica::start(FIRST + 50, 12));
+    let hollow = Hollow::start(vec![before.address], Some(FIRST), 10);
+    before.wait_for_calls(NODES.into());
+    hollow.tell(&HollowCommand::Replicas { replicas: vec![after.address] });
+    hollow.wait_for_version(nodes(), FIRST + 50);
+    after.change(FIRST + 51, 0, "draining");
+    hollow.wait_for_version(nodes(), FIRST + 51);
+    assert_eq!(before.report().calls, NODES.into());
+}
+
+#[test]
+fn both_processes_end_when_they_are_told_to_or_their_input_ends() {
+    let replica = Replica::start(FIRST, 3);
+    let hollow = Hollow::start(vec![replica.address], Some(FIRST), 3);
+    replica.wait_for_calls(NODES.into());
+    hollow.tell(&HollowCommand::Stop);
+    assert_eq!(hollow.process.into_inner().ended(), (true, String::new()));
+    let hollow = Hollow::start(vec![replica.address], Some(FIRST), 3);
+    assert!(hollow.process.into_inner().ended().0);
+    replica.tell(&ReplicaCommand::Stop);
+    assert_eq!(replica.process.into_inner().ended(), (true, String::new()));
+    let replica = Replica::start(FIRST, 3);
+    assert!(replica.process.into_inner().ended().0);
+}
+
+#[test]
+fn a_command_that_cannot_be_carried_out_ends_the_process_and_is_named() {
+    let replica = Replica::start(FIRST, 3);
+    let hollow = Hollow::start(vec![replica.address], Some(FIRST), 3);
+    hollow.tell(&HollowCommand::Kill { nodes: vec![FIRST_NODE + NODES] });
+    let (went_well, said) = hollow.process.into_inner().ended();
+    assert!(!went_well);
+    assert!(said.contains("node 48: expected one from 40 to 47"), "{said}");
+    let cases = [
+        (HollowCommand::Report, "line 1 of the commands: expected the command start"),
+        (start(Vec::new(), None, 0), "replicas: expected one address or more, found none"),
+    ];
+    for (first, words) in cases {
+        let (went_well, said) = Process::<_, HollowEvent>::start("scale-hollow", &first).ended();
+        assert!(!went_well && said.contains(words), "{said}; expected {words}");
+    }
+    let (went_well, said) = Process::<_, ReplicaEvent>::start("scale-replica", &"rest").ended();
+    assert!(!went_well && said.contains("line 1 of the commands: "), "{said}");
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`world`] holds the stand-ins as state machines without I/O or a clock.
 //! - [`simulate`] is the player in virtual time: one thread, no wall clock, the same bytes every time.
 //! - [`live`] is the player on sockets: real processes, real time.
+//! - [`scale`] has the processes of a scale run: hollow nodes against stand-in discovery by replicas.
 //! - [`counts`] adds up what all nodes together do to the fleet.
 //! - [`Ledger`] decides the four rules and the figure of service; it knows nothing of how the nodes work.
 //! - [`report`] shows a verdict in the terminal and as JSON, [`page`] as one HTML page, [`spread`] several side by side.
@@ -16,6 +17,7 @@
 pub mod conduct;
 pub mod counts;
 pub mod demand;
+pub mod discovery_call;
 pub mod draw;
 pub mod fleet;
 pub mod ledger;
--- a/crates/rig/src/live/discovery.rs
+++ b/crates/rig/src/live/discovery.rs
@@ -2,6 +2,7 @@
 //! address of its own, so that the judge knows who was told what.
 
 use super::{LiveError, World};
+use crate::discovery_call::DiscoveryCall;
 use crate::draw::Draw;
 use crate::fleet;
 use crate::ledger::Fact;
@@ -25,9 +26,6 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
-/// The longest that a watch may wait.
-const LONGEST_WAIT: Duration = Duration::from_secs(60);
-
 /// Starts an address for each node; they are in the nodes' order.
 pub async fn start(world: &Rc<World>) -> Result<(), LiveError> {
     for node in 0..world.script.nodes as usize {
@@ -93,13 +91,6 @@
     })
 }
 
-fn number(query: &str, name: &str) -> Option<u64> {
-    query
-        .split('&')
-        .find_map(|part| part.strip_prefix(name)?.strip_prefix('='))
-        .and_then(|text| text.parse().ok())
-}
-
 /// A body that breaks off: fewer bytes come than its head has told.
 struct BreaksOff {
     told: u64,
@@ -135,9 +126,7 @@
 }
 
 async fn respond(world: &Rc<World>, node: usize, request: Request<Incoming>) -> Answer {
-    let query = request.uri().query().unwrap_or("");
-    let after = number(query, "after");
-    let wait = Duration::from_millis(number(query, "wait_ms").unwrap_or(0)).min(LONGEST_WAIT);
+    let DiscoveryCall { after, wait } = DiscoveryCall::read(request.uri().query());
     let mut up = world.discovery_up.subscribe();
     let told = async {
         let settings = &world.script.discovery;
--- /dev/null
+++ b/crates/rig/src/scale/process.rs
@@ -0,0 +1,141 @@
+//! What the processes of a scale run have in common: commands come in as lines on standard input, events go out as lines on
+//! standard output, and each process raises its own limit of descriptors.
+
+use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::io::{self, BufRead, Write};
+use std::sync::mpsc as blocking;
+use std::thread::{self, JoinHandle};
+use thiserror::Error;
+use tokio::sync::mpsc;
+
+/// Commands that are read ahead of the one that is being carried out.
+const READ_AHEAD: usize = 64;
+/// Descriptors that a process of a scale run asks for at the most.
+const MOST_DESCRIPTORS: u64 = 20_000;
+
+/// Why a process of a scale run ended.
+#[derive(Debug, Error)]
+pub enum ProcessError {
+    /// A line on standard input is no command.
+    #[error("line {line} of the commands: {error}")]
+    Unreadable {
+        /// Its number, from 1.
+        line: usize,
+        /// What is wrong with it.
+        error: serde_json::Error,
+    },
+    /// Something else came first.
+    #[error("line 1 of the commands: expected the command start")]
+    NotStarted,
+    /// It came again.
+    #[error("expected the command start once, found it again")]
+    StartedTwice,
+    /// A version went back.
+    #[error("change of {host}: expected a version above {held}, found {version}")]
+    OldVersion {
+        /// The server whose entry changed.
+        host: String,
+        /// The version of the change.
+        version: u64,
+        /// The version of the list.
+        held: u64,
+    },
+    /// A command names a node that another process has.
+    #[error("node {node}: expected one from {first} to {last}")]
+    ForeignNode {
+        /// Its number.
+        node: u32,
+        /// The first one here.
+        first: u32,
+        /// The last one here.
+        last: u32,
+    },
+    /// Nodes have to ask somebody.
+    #[error("replicas: expected one address or more, found none")]
+    NoReplica,
+    /// Something of the system failed.
+    #[error("{what}: {error}")]
+    System {
+        /// What was done.
+        what: &'static str,
+        /// How it failed.
+        error: io::Error,
+    },
+}
+
+impl ProcessError {
+    /// For `map_err`: what was done when the system failed.
+    pub fn system(what: &'static str) -> impl Fn(io::Error) -> Self {
+        move |error| Self::System { what, error }
+    }
+}
+
+/// The commands on standard input, in their order; it ends with the input. A thread reads them, since a read that waits for
+/// a line cannot be given up.
+pub fn commands<T: DeserializeOwned + Send + 'static>() -> mpsc::Receiver<Result<T, ProcessError>> {
+    let (sender, commands) = mpsc::channel(READ_AHEAD);
+    thread::spawn(move || {
+        for (number, line) in io::stdin().lock().lines().enumerate() {
+            let command = match line {
+                Ok(line) => serde_json::from_str(&line)
+                    .map_err(|error| ProcessError::Unreadable { line: number + 1, error }),
+                Err(error) => Err(ProcessError::System { what: "standard input", error }),
+            };
+            // Nobody reads them any more once the process ends.
+            if sender.blocking_send(command).is_err() {
+                return;
+            }
+        }
+    });
+    commands
+}
+
+/// Writes events to standard output, from a thread of its own: a reader that is slow holds nothing else up.
+pub struct Events<T> {
+    sender: blocking::Sender<T>,
+    writer: JoinHandle<io::Result<()>>,
+}
+
+impl<T: Serialize + Send + 'static> Events<T> {
+    /// Begins with nothing written.
+    pub fn start() -> Self {
+        let (sender, events) = blocking::channel::<T>();
+        let writer = thread::spawn(move || {
+            let mut output = io::stdout().lock();
+            for event in events {
+                let mut line = serde_json::to_vec(&event)?;
+                line.push(b'\n');
+                output.write_all(&line)?;
+                output.flush()?;
+            }
+            Ok(())
+        });
+        Self { sender, writer }
+    }
+
+    /// Writes this one after those before it.
+    pub fn send(&self, event: T) {
+        // A writer that failed says so at the end.
+        let _ = self.sender.send(event);
+    }
+
+    /// Waits until all events are written.
+    pub fn finish(self) -> Result<(), ProcessError> {
+        drop(self.sender);
+        let written = self.writer.join().unwrap_or_else(|_| Err(io::ErrorKind::Other.into()));
+        written.map_err(ProcessError::system("standard output"))
+    }
+}
+
+/// Raises this process's own limit of descriptors as far as it may, up to [`MOST_DESCRIPTORS`].
+pub fn raise_descriptors() -> Result<(), ProcessError> {
+    let Rlimit { current, maximum } = getrlimit(Resource::Nofile);
+    let wanted = maximum.map_or(MOST_DESCRIPTORS, |maximum| maximum.min(MOST_DESCRIPTORS));
+    if current.is_none_or(|current| current >= wanted) {
+        return Ok(());
+    }
+    let raised = setrlimit(Resource::Nofile, Rlimit { current: Some(wanted), maximum });
+    raised.map_err(|error| ProcessError::System { what: "the limit of descriptors", error: error.into() })
+}
--- /dev/null
+++ b/crates/rig/src/scale/replica/address.rs
@@ -0,0 +1,41 @@
+//! The address of a replica, which stays its own while nothing listens there.
+
+use std::io;
+use std::net::SocketAddr;
+use tokio::net::{TcpListener, TcpSocket};
+
+/// Connections that may wait to be accepted; the system has a limit of its own below.
+const BACKLOG: u32 = 16_384;
+
+/// An address that is held by a socket which is bound and does not listen: connections are refused, and the system gives
+/// the port to no other socket meanwhile, which on a machine with thousands of connections it would soon do.
+#[derive(Debug)]
+pub struct HeldAddress {
+    address: SocketAddr,
+    _holder: TcpSocket,
+}
+
+impl HeldAddress {
+    /// Holds this address; the system picks the port where it is 0.
+    pub fn hold(wanted: SocketAddr) -> io::Result<Self> {
+        let holder = bind(wanted)?;
+        Ok(Self { address: holder.local_addr()?, _holder: holder })
+    }
+
+    /// The address, with its port.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Listens there, until the listener is dropped.
+    pub fn listen(&self) -> io::Result<TcpListener> {
+        bind(self.address)?.listen(BACKLOG)
+    }
+}
+
+fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
--- /dev/null
+++ b/crates/rig/src/scale/replica/connection.rs
@@ -0,0 +1,91 @@
+//! A node's connection, with its bytes counted both ways.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Bytes of all connections.
+#[derive(Debug, Default)]
+pub struct Bytes {
+    /// Read from nodes.
+    pub read: Cell<u64>,
+    /// Written to nodes.
+    pub written: Cell<u64>,
+}
+
+/// A connection whose bytes are counted as the socket takes and gives them.
+#[derive(Debug)]
+pub struct CountedStream {
+    stream: TcpStream,
+    bytes: Rc<Bytes>,
+}
+
+impl CountedStream {
+    /// Counts what passes on this connection from here on.
+    pub fn new(stream: TcpStream, bytes: Rc<Bytes>) -> Self {
+        Self { stream, bytes }
+    }
+
+    /// Ends the connection with a reset.
+    pub fn reset(self) {
+        // One that has ended already needs none.
+        let _ = self.stream.set_zero_linger();
+    }
+
+    fn count_written(&self, wrote: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(length)) = &wrote {
+            self.bytes.written.set(self.bytes.written.get() + *length as u64);
+        }
+        wrote
+    }
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let length = buffer.filled().len() - before;
+        self.bytes.read.set(self.bytes.read.get() + length as u64);
+        read
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let wrote = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.count_written(wrote)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let wrote = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.count_written(wrote)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
