--- a/crates/node/tests/hollow.rs
+++ b/crates/node/tests/hollow.rs
@@ -35,7 +35,7 @@
     commands: Option<ChildStdin>,
     events: Receiver<E>,
     /// What it said on standard error.
-    errors: thread::JoinHandle<String>,
+    errors: Option<thread::JoinHandle<String>>,
     told: PhantomData<C>,
 }
 
@@ -55,7 +55,7 @@
         let mut errors = child.stderr.take().unwrap();
         let errors = thread::spawn(move || std::io::read_to_string(&mut errors).unwrap());
         let commands = child.stdin.take();
-        let mut process = Self { child, commands, events, errors, told: PhantomData };
+        let mut process = Self { child, commands, events, errors: Some(errors), told: PhantomData };
         process.tell(first);
         process
     }
@@ -73,9 +73,13 @@
     /// Waits for its end, after its input has ended: whether it went well, and what it said.
     fn ended(mut self) -> (bool, String) {
         self.commands = None;
-        let status = self.child.wait().unwrap();
-        let errors = std::mem::replace(&mut self.errors, thread::spawn(String::new));
-        (status.success(), errors.join().unwrap())
+        let mut status = None;
+        wait_for("a process's end", || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        });
+        let errors = self.errors.take().unwrap().join().unwrap();
+        (status.unwrap().success(), errors)
     }
 }
 
@@ -305,7 +309,7 @@
     hollow.wait_for_version(nodes(), FIRST + 50);
     after.change(FIRST + 51, 0, "draining");
     hollow.wait_for_version(nodes(), FIRST + 51);
-    assert_eq!(before.report().calls, NODES.into());
+    assert_eq!(before.report().calls, u64::from(NODES));
 }
 
 #[test]
