Tell hollow nodes all replicas of discovery, and what each can send

The client takes a set of replicas instead of one address. A process of hollow nodes hands on those it is told, and the capacity if nodes are to know it. The seven tests of hollow nodes pass.

--- a/crates/node/src/hollow/mod.rs
+++ b/crates/node/src/hollow/mod.rs
@@ -4,10 +4,12 @@
 mod node;
 mod record;
 
+use crate::config::DiscoveryReplicas;
 use crate::listing::{Host, Listing};
+use decide::replicas::Capacity;
 use node::{Common, HollowNode};
 use record::Record;
-use rig::scale::messages::{HollowCommand, HollowEvent, ListedServer};
+use rig::scale::messages::{HollowCommand, HollowEvent, ListedServer, ReplicaCapacity};
 use rig::scale::process::{commands, raise_descriptors, Events, ProcessError};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -37,13 +39,13 @@
             count,
             fleet,
             replicas,
-            capacity: _,
+            capacity,
             version,
             servers,
             seed,
             zones,
         }) => {
-            let (replicas, asked) = watch::channel(first_of(&replicas)?);
+            let (replicas, asked) = watch::channel(service(replicas, capacity)?);
             let common = Common { fleet, seed, zones, replicas: asked, record: Rc::default() };
             let mut nodes =
                 HollowNodes { first, count, common, replicas, running: BTreeMap::new(), launches: 0 };
@@ -62,7 +64,7 @@
             HollowCommand::Launch { nodes: launched } => {
                 nodes.launch(launched.into_iter(), &Listing::default()).await?;
             }
-            HollowCommand::Replicas { replicas } => nodes.ask(&replicas)?,
+            HollowCommand::Replicas { replicas } => nodes.ask(replicas)?,
             HollowCommand::Report => events.send(HollowEvent::Report(nodes.common.record.take())),
             HollowCommand::Stop => return Ok(()),
         }
@@ -75,7 +77,7 @@
     first: u32,
     count: u32,
     common: Common,
-    replicas: watch::Sender<SocketAddr>,
+    replicas: watch::Sender<DiscoveryReplicas>,
     /// Those that are up, by number.
     running: BTreeMap<u32, HollowNode>,
     /// How many were launched, so that each draws numbers of its own.
@@ -112,9 +114,15 @@
         Ok(())
     }
 
-    fn ask(&self, replicas: &[SocketAddr]) -> Result<(), ProcessError> {
-        let wanted = first_of(replicas)?;
-        self.replicas.send_if_modified(|held| std::mem::replace(held, wanted) != wanted);
+    /// Has all nodes ask these from here on, of whom each can do as much as those before.
+    fn ask(&self, replicas: Vec<SocketAddr>) -> Result<(), ProcessError> {
+        if replicas.is_empty() {
+            return Err(ProcessError::NoReplica);
+        }
+        self.replicas.send_if_modified(|held| {
+            let wanted = DiscoveryReplicas::new(replicas, held.capacity);
+            std::mem::replace(held, wanted.clone()) != wanted
+        });
         Ok(())
     }
 
@@ -128,8 +136,19 @@
     }
 }
 
-fn first_of(replicas: &[SocketAddr]) -> Result<SocketAddr, ProcessError> {
-    replicas.first().copied().ok_or(ProcessError::NoReplica)
+/// The service that these replicas are, each of that capacity.
+fn service(
+    replicas: Vec<SocketAddr>,
+    capacity: Option<ReplicaCapacity>,
+) -> Result<DiscoveryReplicas, ProcessError> {
+    if replicas.is_empty() {
+        return Err(ProcessError::NoReplica);
+    }
+    let capacity = capacity.map(|capacity| Capacity {
+        lines_per_second: capacity.lines_per_second,
+        call_lines: capacity.call_lines,
+    });
+    Ok(DiscoveryReplicas::new(replicas, capacity))
 }
 
 fn listing(version: u64, servers: Vec<ListedServer>) -> Listing {
--- a/crates/node/src/hollow/node.rs
+++ b/crates/node/src/hollow/node.rs
@@ -1,6 +1,7 @@
 //! One hollow node: what a node runs for one pool, with nobody to serve.
 
 use super::Record;
+use crate::config::DiscoveryReplicas;
 use crate::discovery::Discovery;
 use crate::driver::Driver;
 use crate::input::Input;
@@ -11,7 +12,6 @@
 use decide::membership::Membership;
 use decide::{Balancer, Class, Effect, Settings};
 use std::cell::Cell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::{self, UnboundedSender};
@@ -36,7 +36,7 @@
     /// Zones of the nodes, dealt in turn by their numbers.
     pub zones: Vec<String>,
     /// Whom they ask.
-    pub replicas: watch::Receiver<SocketAddr>,
+    pub replicas: watch::Receiver<DiscoveryReplicas>,
     /// Where they write down what they did.
     pub record: Rc<Record>,
 }
@@ -87,7 +87,8 @@
         ));
         spawn_local(Upstream::sweep(Rc::downgrade(&upstream)));
         let discovery = Discovery {
-            address: common.replicas.clone(),
+            node: name.clone(),
+            replicas: common.replicas.clone(),
             membership: Membership::new((!known.hosts.is_empty()).then_some(known.seq), known.ready()),
             terms: Rc::new(Cell::new(Terms::of(&settings))),
             random: random.fork(),
