--- a/crates/node/tests/hollow.rs
+++ b/crates/node/tests/hollow.rs
@@ -312,6 +312,36 @@
     assert_eq!(before.report().calls, u64::from(NODES));
 }
 
+#[test]
+fn nodes_go_over_to_the_replica_that_answers() {
+    let replicas = [Replica::start(FIRST, 10), Replica::start(FIRST, 10)];
+    let addresses = replicas.iter().map(|replica| replica.address).collect();
+    let hollow = Hollow::start(addresses, Some(FIRST), 10);
+    let calls = || replicas.iter().map(|replica| replica.report().calls).sum::<u64>();
+    wait_for("calls", || calls() >= u64::from(NODES));
+    // Whichever of the two a node asks first: both are away once.
+    for (version, away, up) in [(FIRST + 1, 0, 1), (FIRST + 21, 1, 0)] {
+        for replica in &replicas {
+            replica.change(version, 3, "draining");
+        }
+        hollow.wait_for_version(nodes(), version);
+        replicas[away].tell(&ReplicaCommand::Answer { answering: Answering::Away });
+        replicas[up].tell(&ReplicaCommand::Answer { answering: Answering::Up });
+        replicas[away].report();
+        let later = version + 10;
+        replicas[up].change(later, 3, "ready");
+        hollow.wait_for_version(nodes(), later);
+        replicas[away].change(later, 3, "ready");
+        replicas[away].tell(&ReplicaCommand::Answer { answering: Answering::Up });
+    }
+    let applied = hollow.report().applied;
+    for node in nodes() {
+        let versions: Vec<_> =
+            applied.iter().filter(|list| list.node == node).map(|list| list.version).collect();
+        assert!(versions.windows(2).all(|pair| pair[0] <= pair[1]), "node {node}: {versions:?}");
+    }
+}
+
 #[test]
 fn both_processes_end_when_they_are_told_to_or_their_input_ends() {
     let replica = Replica::start(FIRST, 3);
