--- a/crates/rig/tests/replica.rs
+++ b/crates/rig/tests/replica.rs
@@ -12,6 +12,7 @@
 use std::sync::mpsc::Receiver;
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
+use tokio::net::TcpSocket;
 use tokio::sync::mpsc::Sender;
 
 /// A condition that has not come about by then fails the test.
@@ -350,6 +351,9 @@
             let refused = TcpStream::connect(replica.address).unwrap_err();
             assert_eq!(refused.kind(), ErrorKind::ConnectionRefused);
         }
+        // Nobody gets its port meanwhile.
+        let taken = TcpSocket::new_v4().unwrap().bind(replica.address).unwrap_err();
+        assert_eq!(taken.kind(), ErrorKind::AddrInUse);
         replica.change(FIRST + round, server_that_is(0, "draining"));
         replica.answer_like(Answering::Up);
         replica.report();
