Count a watch's wait from when its call came, in the stand-in of scale runs

Counted from its turn, a watch that queued for longer than the client's 0.5 s of grace ended after the client had taken it for dead.

--- a/crates/rig/src/scale/replica/service.rs
+++ b/crates/rig/src/scale/replica/service.rs
@@ -157,9 +157,11 @@
         let Some(after) = call.after else {
             return self.send_in_turn(None, cost).await;
         };
-        let handled = self.queue.borrow_mut().charge(Instant::now(), cost)?;
+        let came = Instant::now();
+        let handled = self.queue.borrow_mut().charge(came, cost)?;
         sleep_until(handled).await;
-        self.wait_for_news(after, handled + call.wait).await;
+        // Of its wait, what it has queued is over.
+        self.wait_for_news(after, came + call.wait).await;
         self.wait_while_silent().await;
         self.send_in_turn(Some(after), 0.0).await
     }
--- a/crates/rig/tests/replica.rs
+++ b/crates/rig/tests/replica.rs
@@ -318,6 +318,20 @@
     assert!(report.longest_queue_ms <= 800, "{report:?}");
 }
 
+#[test]
+fn the_wait_of_a_watch_counts_from_when_its_call_came() {
+    let capacity = ReplicaCapacity { lines_per_second: 5.0, ..FAST };
+    let replica = Replica::start(capacity, 2);
+    let (mut first, mut second) = (replica.connect(), replica.connect());
+    // It has its turn after 2 s and 1 s of its wait left, and the second call has its turn after 4 s.
+    first.send(&watch(FIRST, 3_000));
+    replica.wait_for_calls(1);
+    second.send(&watch(FIRST, 1));
+    let length = first.answer().unwrap().length as u64;
+    assert_eq!(replica.report().bytes_out, length);
+    assert_eq!(second.answer().unwrap().told(), (FIRST, false, Vec::new()));
+}
+
 #[test]
 fn news_beyond_the_limit_of_the_queue_are_refused_and_only_the_calls_charged() {
     let capacity = ReplicaCapacity { lines_per_second: 0.5, call_lines: 0.0, queue_limit_ms: 100, ..FAST };
