--- a/crates/decide/src/share.rs
+++ b/crates/decide/src/share.rs
@@ -15,12 +15,14 @@
 const MOST: Duration = Duration::from_secs(86_400);
 /// At rest watches use such a part of what a replica can do: the rest is for changes, lists and a neighbour's nodes.
 const AT_REST: f64 = 0.5;
-/// The upper end of a pause, as a part of the time for which the node was refused, and of the time that remains.
+/// The upper end of a pause, as a part of the time for which the node was refused.
 const PART_OF_TIME: f64 = 0.25;
+/// And as a part of the time that remains.
+const PART_OF_REST: f64 = 0.125;
 /// No upper end is shorter than such a part of the time that all nodes' calls take: refused calls may cost as much.
-const PART_OF_CALLS: f64 = 0.25;
-/// A pause before a call for changes is drawn from so many times the time that all nodes' calls take.
-const CHANGES_PAUSE: f64 = 2.0;
+const PART_OF_CALLS: f64 = 0.5;
+/// A pause before a call for changes is drawn from no more than so many times the time that all nodes' calls take.
+const MOST_CHANGES_PAUSE: f64 = 8.0;
 /// Nodes come back to a replica within so many times the time that all of their calls take: a quarter of its capacity.
 const RETURN_SPREAD: f64 = 4.0;
 /// A hold-down is no shorter, however few nodes there are.
@@ -85,15 +87,15 @@
         }
         let least = self.list_lines.map_or(LEAST, |_| self.one_list());
         let least = least.max(self.all_calls().mul_f64(PART_OF_CALLS)).max(LEAST);
-        let pause = PART_OF_TIME * refused_for.min(all - refused_for);
+        let pause = (PART_OF_TIME * refused_for).min(PART_OF_REST * (all - refused_for));
         Duration::from_secs_f64(pause.min(MOST.as_secs_f64())).max(least)
     }
 
-    /// The upper end of the pause before changes are asked for again, where the replica cannot answer all of its nodes
-    /// within `in_time`.
-    pub fn changes_pause(self, in_time: Duration) -> Option<Duration> {
+    /// The upper end of the pause before changes are asked for again, for a node that has been refused for this long. `None`
+    /// where the replica can answer all of its nodes within `in_time`: the pause need not grow beyond that.
+    pub fn changes_pause(self, refused_for: Duration, in_time: Duration) -> Option<Duration> {
         let all = self.all_calls();
-        (all > in_time).then(|| all.mul_f64(CHANGES_PAUSE))
+        (all > in_time).then(|| refused_for.min(all.mul_f64(MOST_CHANGES_PAUSE)).max(in_time))
     }
 
     /// The shortest time for which a replica that failed is left alone; nodes come back over as long again.
