Read, plan and run a scale run's script: needs, processes, steps and measurements

Need: figures at the size that is coming, on one machine. Not run yet: the processes that it starts are made elsewhere.

--- /dev/null
+++ b/crates/rig/src/scale/events.rs
@@ -0,0 +1,277 @@
+//! Draws what a script's events do, step by step: the same script gives the same steps.
+
+use super::messages::{Answering, ListedServer};
+use super::script::{Event, EventKind, ScaleScript};
+use crate::draw::Draw;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+const SECONDS_A_DAY: f64 = 86_400.0;
+/// Changes of the list that replacing one server makes.
+const CHANGES_A_REPLACEMENT: f64 = 3.0;
+/// Servers that share a cell.
+const SERVERS_A_CELL: u32 = 16;
+/// Where servers would listen, were there any.
+const SERVER_PORT: u16 = 7070;
+
+/// A step of the run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Planned {
+    /// From the beginning of the measurement.
+    pub at: Duration,
+    /// What is done.
+    pub step: Step,
+}
+
+/// What the run does at one time.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// A server's entry on the list is new.
+    Change {
+        /// The entry.
+        server: ListedServer,
+        /// It starts at this time, so that its `born_ms` is that of the step.
+        starts: bool,
+    },
+    /// Hollow nodes are killed.
+    Kill(Vec<u32>),
+    /// Hollow nodes start, without a list.
+    Launch(Vec<u32>),
+    /// Replicas answer like this from here on.
+    Answer {
+        /// Their numbers.
+        replicas: Vec<u32>,
+        /// How.
+        answering: Answering,
+    },
+    /// A replica learns of changes later by this from here on.
+    Lag {
+        /// Its number.
+        replica: u32,
+        /// Zero: at once, also what it was to learn later.
+        by: Duration,
+    },
+    /// A replica loses all entries, or its count of versions.
+    Lose {
+        /// Its number.
+        replica: u32,
+        /// The count of versions.
+        versions: bool,
+    },
+    /// A replica that lost something has it again.
+    Restore {
+        /// Its number.
+        replica: u32,
+    },
+    /// Nodes are told to use the first so many replicas.
+    ReplicaSet(u32),
+}
+
+/// The list at the start: all servers ready, for a long time.
+pub fn servers_at_start(script: &ScaleScript) -> Vec<ListedServer> {
+    (0..script.servers).map(|seat| server(script, seat, 0)).collect()
+}
+
+/// The server in a seat, after so many replacements.
+fn server(script: &ScaleScript, seat: u32, generation: u16) -> ListedServer {
+    let address = Ipv4Addr::new(127, 1, (seat / 250) as u8, 1 + (seat % 250) as u8);
+    ListedServer {
+        host: format!("s-{seat:04}-{generation}"),
+        dial: SocketAddr::from((address, SERVER_PORT.saturating_add(generation))),
+        site: script.zone_name(seat % script.zones),
+        class: "m1".into(),
+        block: u64::from(seat / SERVERS_A_CELL),
+        health: "ready".into(),
+        share: 1.0,
+        born_ms: 0,
+    }
+}
+
+/// All steps of a script's events, in the order of time.
+pub fn plan(script: &ScaleScript) -> Vec<Planned> {
+    let mut planner = Planner::new(script);
+    // A zone takes all that is in it; the others draw among what is left.
+    let (zones, others): (Vec<_>, Vec<_>) =
+        script.events.iter().enumerate().partition(|(_, event)| matches!(event.what, EventKind::Zone { .. }));
+    for (number, event) in zones.into_iter().chain(others) {
+        planner.event(event, Draw::new(script.seed).on(number as u64));
+    }
+    let mut planned = planner.planned;
+    planned.sort_by_key(|planned| planned.at);
+    planned
+}
+
+/// What is under way at which times, so that no node or server is drawn for two things at once.
+#[derive(Debug)]
+struct Occupied(Vec<Vec<(Duration, Duration)>>);
+
+impl Occupied {
+    fn new(count: u32) -> Self {
+        Self(vec![Vec::new(); count as usize])
+    }
+
+    /// Takes this one for the time between, if it is free.
+    fn take(&mut self, number: u32, from: Duration, to: Duration) -> bool {
+        let times = &mut self.0[number as usize];
+        let free = times.iter().all(|&(taken_from, taken_to)| to < taken_from || taken_to < from);
+        if free {
+            times.push((from, to));
+        }
+        free
+    }
+
+    /// Takes the first free one from a drawn one on.
+    fn draw(&mut self, draw: Draw, from: Duration, to: Duration) -> Option<u32> {
+        let count = self.0.len() as u64;
+        let first = draw.bits() % count;
+        (0..count).map(|next| ((first + next) % count) as u32).find(|&number| self.take(number, from, to))
+    }
+}
+
+struct Planner<'a> {
+    script: &'a ScaleScript,
+    nodes: Occupied,
+    servers: Occupied,
+    generations: Vec<u16>,
+    planned: Vec<Planned>,
+}
+
+impl<'a> Planner<'a> {
+    fn new(script: &'a ScaleScript) -> Self {
+        Self {
+            script,
+            nodes: Occupied::new(script.nodes),
+            servers: Occupied::new(script.servers),
+            generations: vec![0; script.servers as usize],
+            planned: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, at: Duration, step: Step) {
+        self.planned.push(Planned { at, step });
+    }
+
+    fn event(&mut self, event: &Event, draw: Draw) {
+        let (from, to) = (event.at, event.at + event.over);
+        match event.what {
+            EventKind::Changes { per_day, step } => self.changes(event, per_day, step, draw),
+            EventKind::Restarts { per_day, down } => self.restarts(event, per_day, down, draw),
+            EventKind::Zone { zone } => {
+                let drawn = (draw.bits() % u64::from(self.script.zones)) as u32;
+                self.zone(event, zone.unwrap_or(drawn));
+            }
+            EventKind::ReplicaLost { replica } => {
+                let replica = self.replica(replica, draw);
+                self.answer(event, vec![replica], Answering::Away);
+            }
+            EventKind::ReplicaSilent { replica } => {
+                let replica = self.replica(replica, draw);
+                self.answer(event, vec![replica], Answering::Silent);
+            }
+            EventKind::ReplicaLagging { replica, lag } => {
+                let replica = self.replica(replica, draw);
+                self.step(from, Step::Lag { replica, by: lag });
+                self.step(to, Step::Lag { replica, by: Duration::ZERO });
+            }
+            EventKind::ReplicaReset { replica, versions } => {
+                let replica = self.replica(replica, draw);
+                self.step(from, Step::Lose { replica, versions });
+                self.step(to, Step::Restore { replica });
+            }
+            EventKind::DiscoveryAway => {
+                let all = (0..self.script.running_replicas()).collect();
+                self.answer(event, all, Answering::Away);
+            }
+            EventKind::ReplicaSet { replicas } if self.script.mechanism => {
+                self.step(from, Step::ReplicaSet(replicas));
+            }
+            // Nodes know one address, whatever set there is.
+            EventKind::ReplicaSet { .. } => {}
+        }
+    }
+
+    /// A replica that nodes know: the one that the script names, or a drawn one.
+    fn replica(&self, named: Option<u32>, draw: Draw) -> u32 {
+        let known = self.script.known_replicas();
+        named.unwrap_or((draw.bits() % u64::from(known)) as u32).min(known - 1)
+    }
+
+    fn answer(&mut self, event: &Event, replicas: Vec<u32>, answering: Answering) {
+        self.step(event.at, Step::Answer { replicas: replicas.clone(), answering });
+        self.step(event.at + event.over, Step::Answer { replicas, answering: Answering::Up });
+    }
+
+    fn changes(&mut self, event: &Event, per_day: f64, step: Duration, draw: Draw) {
+        let takes = step * 2;
+        let replacements_a_day = per_day / CHANGES_A_REPLACEMENT;
+        for (number, at) in times(event, replacements_a_day, takes, draw).into_iter().enumerate() {
+            let draw = draw.on(1).on(number as u64);
+            if let Some(seat) = self.servers.draw(draw, at, at + takes) {
+                self.replace(seat, at, step);
+            }
+        }
+    }
+
+    fn replace(&mut self, seat: u32, at: Duration, step: Duration) {
+        let generation = self.generations[seat as usize];
+        let before = server(self.script, seat, generation);
+        let after = server(self.script, seat, generation.saturating_add(1));
+        self.generations[seat as usize] = generation.saturating_add(1);
+        let with_health = |health: &str| ListedServer { health: health.into(), ..before.clone() };
+        let (draining, gone) = (with_health("draining"), with_health("gone"));
+        self.step(at, Step::Change { server: draining, starts: false });
+        self.step(at + step, Step::Change { server: gone, starts: false });
+        self.step(at + step * 2, Step::Change { server: after, starts: true });
+    }
+
+    fn restarts(&mut self, event: &Event, per_day: f64, down: Duration, draw: Draw) {
+        let machines = u64::from(self.script.nodes + self.script.servers);
+        for (number, at) in times(event, per_day, down, draw).into_iter().enumerate() {
+            let draw = draw.on(1).on(number as u64);
+            let back = at + down;
+            let is_node = draw.bits() % machines < u64::from(self.script.nodes);
+            if is_node {
+                if let Some(node) = self.nodes.draw(draw.on(1), at, back) {
+                    self.step(at, Step::Kill(vec![node]));
+                    self.step(back, Step::Launch(vec![node]));
+                }
+            } else if let Some(seat) = self.servers.draw(draw.on(1), at, back) {
+                self.restart_server(seat, at, back);
+            }
+        }
+    }
+
+    fn restart_server(&mut self, seat: u32, at: Duration, back: Duration) {
+        let server = server(self.script, seat, self.generations[seat as usize]);
+        let gone = ListedServer { health: "gone".into(), ..server.clone() };
+        self.step(at, Step::Change { server: gone, starts: false });
+        self.step(back, Step::Change { server, starts: true });
+    }
+
+    fn zone(&mut self, event: &Event, zone: u32) {
+        let (from, to) = (event.at, event.at + event.over);
+        let in_zone = |number: &u32| number % self.script.zones == zone;
+        let nodes: Vec<_> = (0..self.script.nodes).filter(in_zone).collect();
+        let nodes: Vec<_> = nodes.into_iter().filter(|&node| self.nodes.take(node, from, to)).collect();
+        let seats: Vec<_> = (0..self.script.servers).filter(in_zone).collect();
+        for seat in seats {
+            if self.servers.take(seat, from, to) {
+                self.restart_server(seat, from, to);
+            }
+        }
+        if !nodes.is_empty() {
+            self.step(from, Step::Kill(nodes.clone()));
+            self.step(to, Step::Launch(nodes));
+        }
+    }
+}
+
+/// When things of a rate begin that take so long, within an event: evenly, each drawn within its part. At least one.
+fn times(event: &Event, per_day: f64, takes: Duration, draw: Draw) -> Vec<Duration> {
+    let count = (per_day * event.over.as_secs_f64() / SECONDS_A_DAY).round().max(1.0) as u32;
+    let room = event.over.saturating_sub(takes);
+    let part = room / count;
+    (0..count)
+        .map(|number| event.at + part * number + part.mul_f64(draw.on(u64::from(number)).unit()))
+        .collect()
+}
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -2,5 +2,24 @@
 //!
 //! A hollow node is the real discovery client with the real decisions and no clients (as Kubernetes' Kubemark has hollow
 //! kubelets). Processes talk to the run by the lines of JSON in [`messages`].
+//!
+//! - [`ScaleScript`] is read from TOML; [`scenarios`] has those that ship. [`events`] draws its steps.
+//! - [`needs`] compares what a run takes with what the machine has, before anything starts.
+//! - [`run`](run::run) starts the [`processes`], carries the steps out and [measures](measure).
+//! - [`acts`] knows when which node acted on what; [`report`] shows it.
 
+pub mod acts;
+pub mod events;
+pub mod measure;
 pub mod messages;
+pub mod needs;
+pub mod processes;
+pub mod replicas;
+pub mod report;
+pub mod run;
+pub mod scenarios;
+pub mod script;
+pub mod snapshot;
+
+pub use report::ScaleReport;
+pub use script::ScaleScript;
--- /dev/null
+++ b/crates/rig/src/scale/report.rs
@@ -0,0 +1,312 @@
+//! What a scale run came to: as a table, and as one line of JSON that `fit` reads again.
+
+use super::acts::{ActFigures, ReadyFigures, Times};
+use super::messages::{ReplicaCapacity, ReplicaReport};
+use super::snapshot::Window;
+use comfy_table::presets::UTF8_BORDERS_ONLY;
+use comfy_table::{CellAlignment, Table};
+use serde::{Deserialize, Serialize};
+use std::fmt::Write;
+
+/// The version of the format of results.
+pub const VERSION: u32 = 1;
+
+/// The result of a run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ScaleReport {
+    /// [`VERSION`].
+    pub version: u32,
+    /// The script's name.
+    pub name: String,
+    /// What was drawn by.
+    pub seed: u64,
+    /// Hollow nodes.
+    pub nodes: u32,
+    /// Servers on the list at the start.
+    pub servers: u32,
+    /// Processes that shared the hollow nodes.
+    pub hollow_processes: u32,
+    /// Replicas that ran.
+    pub replicas: u32,
+    /// Nodes knew all replicas and what each can do.
+    pub mechanism: bool,
+    /// What one replica could do.
+    pub capacity: ReplicaCapacity,
+    /// The run's steps were carried out so much later than planned at the most: beyond a few hundred milliseconds, this
+    /// machine was too busy for its times to mean anything.
+    pub most_late_ms: f64,
+    /// Nothing happens.
+    pub rest: WindowFigures,
+    /// From the first event until all have caught up; none where nothing happens.
+    pub active: Option<WindowFigures>,
+    /// From changes to nodes that act on them.
+    pub acts: ActFigures,
+    /// From starts without a list to the list.
+    pub ready: ReadyFigures,
+    /// Processor time of a node for a change that it acts on, above that at rest, in microseconds; none where whole lists
+    /// were taken as well, since the two can't be told apart.
+    pub node_change_us: Option<f64>,
+    /// Processor time of a node for a whole list, above that at rest, in microseconds; none where most lists were changes.
+    pub node_whole_list_us: Option<f64>,
+    /// What each replica did, from the beginning of the measurement to its end.
+    pub replica_loads: Vec<ReplicaReport>,
+    /// The largest calls over the mean of all replicas.
+    pub calls_largest_over_mean: f64,
+    /// The largest lines over the mean of all replicas.
+    pub lines_largest_over_mean: f64,
+    /// Real nodes beside the hollow ones.
+    pub real: Option<RealFigures>,
+}
+
+/// What a time of the run cost, by role.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct WindowFigures {
+    /// How long it was.
+    pub seconds: f64,
+    /// Processor time of all processes of hollow nodes, in seconds.
+    pub hollow_processor_s: f64,
+    /// Of all replicas.
+    pub replicas_processor_s: f64,
+    /// Of the run itself.
+    pub run_processor_s: f64,
+    /// `RssAnon` of all processes of hollow nodes at its end, in bytes.
+    pub hollow_resident_bytes: u64,
+    /// Of all replicas.
+    pub replicas_resident_bytes: u64,
+    /// Of the run itself.
+    pub run_resident_bytes: u64,
+    /// Calls of nodes.
+    pub calls: u64,
+    /// Calls that were refused.
+    pub refused: u64,
+    /// Calls that failed, as the hollow nodes count.
+    pub failed_calls: u64,
+    /// Whole lists that replicas sent.
+    pub whole_lists: u64,
+    /// Lines charged to replicas.
+    pub lines: f64,
+    /// Bytes from nodes to replicas.
+    pub bytes_from_nodes: u64,
+    /// Bytes from replicas to nodes.
+    pub bytes_to_nodes: u64,
+    /// Processor time of a hollow node in a second, in microseconds: 10,000 are 1% of a core.
+    pub node_processor_us_per_s: f64,
+    /// Resident memory of a hollow node, its part of the process's own included, in bytes.
+    pub node_resident_bytes: f64,
+    /// The same for each server on the list.
+    pub node_server_resident_bytes: f64,
+    /// Bytes that a node sends in a second.
+    pub node_bytes_out_per_s: f64,
+    /// Bytes that a node is sent in a second.
+    pub node_bytes_in_per_s: f64,
+    /// Messages of a node in a second, both ways: a call, and its answer.
+    pub node_messages_per_s: f64,
+}
+
+/// What the real nodes came to, by the judge of the four rules.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RealFigures {
+    /// Processes.
+    pub nodes: u32,
+    /// Requests of clients.
+    pub requests: u64,
+    /// Answered with what a server made.
+    pub served: u64,
+    /// Answered with 429 or 503.
+    pub refused: u64,
+    /// Answered otherwise.
+    pub failed: u64,
+    /// How often rules 1 to 4 were broken.
+    pub rules_broken: [u64; 4],
+}
+
+impl WindowFigures {
+    /// Of a time with so many nodes and servers.
+    pub fn new(window: &Window, nodes: u32, servers: u32) -> Self {
+        let nodes = f64::from(nodes);
+        let node_seconds = nodes * window.seconds.max(f64::MIN_POSITIVE);
+        let calls = &window.calls;
+        let hollow_processor_s = window.hollow.processor.as_secs_f64();
+        let node_resident_bytes = window.hollow.resident_bytes as f64 / nodes;
+        Self {
+            seconds: window.seconds,
+            hollow_processor_s,
+            replicas_processor_s: window.replicas.processor.as_secs_f64(),
+            run_processor_s: window.run.processor.as_secs_f64(),
+            hollow_resident_bytes: window.hollow.resident_bytes,
+            replicas_resident_bytes: window.replicas.resident_bytes,
+            run_resident_bytes: window.run.resident_bytes,
+            calls: calls.calls,
+            refused: calls.refused,
+            failed_calls: window.failed_calls,
+            whole_lists: calls.whole_lists,
+            lines: calls.lines,
+            bytes_from_nodes: calls.bytes_in,
+            bytes_to_nodes: calls.bytes_out,
+            node_processor_us_per_s: hollow_processor_s * 1e6 / node_seconds,
+            node_resident_bytes,
+            node_server_resident_bytes: node_resident_bytes / f64::from(servers),
+            node_bytes_out_per_s: calls.bytes_in as f64 / node_seconds,
+            node_bytes_in_per_s: calls.bytes_out as f64 / node_seconds,
+            node_messages_per_s: 2.0 * calls.calls as f64 / node_seconds,
+        }
+    }
+}
+
+impl ScaleReport {
+    /// Whether every node that lived acted on every change, every node that was started got a list, nothing came later
+    /// than the script expects, and the real nodes broke no rule.
+    pub fn held(&self) -> bool {
+        let rules_held = self.real.is_none_or(|real| real.rules_broken == [0; 4]);
+        self.acts.never == 0 && self.acts.late == 0 && self.ready.never == 0 && rules_held
+    }
+
+    /// One line of JSON.
+    ///
+    /// # Errors
+    /// When a figure can't be written.
+    pub fn json(&self) -> Result<String, serde_json::Error> {
+        serde_json::to_string(self)
+    }
+
+    /// Reads what [`Self::json`] wrote.
+    ///
+    /// # Errors
+    /// When it is no result of this version.
+    pub fn parse(text: &str) -> Result<Self, serde_json::Error> {
+        let report: Self = serde_json::from_str(text)?;
+        if report.version == VERSION {
+            return Ok(report);
+        }
+        let problem = format!("expected version {VERSION}, found {}", report.version);
+        Err(serde::de::Error::custom(problem))
+    }
+
+    /// A table for the terminal.
+    pub fn text(&self) -> String {
+        let known = if self.mechanism { "all replicas" } else { "one address only" };
+        let mut text = format!(
+            "{} (seed {}): {} hollow nodes in {} processes, {} servers, {} replicas, nodes know {known}\n",
+            self.name, self.seed, self.nodes, self.hollow_processes, self.servers, self.replicas
+        );
+        let _ = writeln!(text, "{}", self.windows_table());
+        let _ = writeln!(text, "{}", self.events_table());
+        if self.acts.never > 0 {
+            let _ = writeln!(text, "MISSED: {} nodes never acted on a change", self.acts.nodes_never);
+        }
+        if self.acts.late > 0 {
+            let _ = writeln!(text, "MISSED: {} acts came later than the script expects", self.acts.late);
+        }
+        if self.ready.never > 0 {
+            let _ = writeln!(text, "MISSED: {} nodes that were started never held a list", self.ready.never);
+        }
+        if let Some(real) = self.real.filter(|real| real.rules_broken != [0; 4]) {
+            let _ = writeln!(text, "MISSED: rules 1 to 4 broken {:?} times by real nodes", real.rules_broken);
+        }
+        text
+    }
+
+    fn windows_table(&self) -> Table {
+        let mut table = bordered(["", "at rest", "with events"]);
+        let mut row = |what: &str, value: &dyn Fn(&WindowFigures) -> String| {
+            let active = self.active.as_ref().map(value).unwrap_or_default();
+            table.add_row([what.to_owned(), value(&self.rest), active]);
+        };
+        row("seconds", &|window| format!("{:.1}", window.seconds));
+        row("a hollow node: processor, us a second", &|window| {
+            format!("{:.1}", window.node_processor_us_per_s)
+        });
+        row("  resident, KiB", &|window| format!("{:.1}", window.node_resident_bytes / 1_024.0));
+        row("  resident for each server, bytes", &|window| {
+            format!("{:.1}", window.node_server_resident_bytes)
+        });
+        row("  bytes sent, received a second", &|window| {
+            format!("{:.1}, {:.1}", window.node_bytes_out_per_s, window.node_bytes_in_per_s)
+        });
+        row("  messages a second, both ways", &|window| format!("{:.3}", window.node_messages_per_s));
+        row("all replicas: calls, refused", &|window| format!("{}, {}", window.calls, window.refused));
+        row("  lines, whole lists", &|window| format!("{:.0}, {}", window.lines, window.whole_lists));
+        row("calls failed, by the nodes", &|window| window.failed_calls.to_string());
+        row("processor, s: hollow, replicas, run", &|window| {
+            let [hollow, replicas, run] =
+                [window.hollow_processor_s, window.replicas_processor_s, window.run_processor_s];
+            format!("{hollow:.2}, {replicas:.2}, {run:.2}")
+        });
+        row("resident, MiB: hollow, replicas, run", &|window| {
+            let bytes =
+                [window.hollow_resident_bytes, window.replicas_resident_bytes, window.run_resident_bytes];
+            let [hollow, replicas, run] = bytes.map(|bytes| bytes as f64 / f64::from(1 << 20));
+            format!("{hollow:.1}, {replicas:.1}, {run:.1}")
+        });
+        table
+    }
+
+    fn events_table(&self) -> Table {
+        let mut table = bordered(["", "figure"]);
+        let mut row = |what: &str, value: String| {
+            table.add_row([what.to_owned(), value]);
+        };
+        let (acts, ready) = (&self.acts, &self.ready);
+        if acts.changes > 0 {
+            row("changes of the list", acts.changes.to_string());
+            row("acts of nodes on them", acts.times.count.to_string());
+            row("  from change to act, ms: p50, p99, last", milliseconds(&acts.times));
+            row("  later than expected, never", format!("{}, {}", acts.late, acts.never));
+            row("  not expected: the node was killed before", acts.killed_before.to_string());
+        }
+        if ready.launched > 0 {
+            row("nodes started without a list, never ready", format!("{}, {}", ready.launched, ready.never));
+            row("  from start to list, ms: p50, p99, last", milliseconds(&ready.times));
+            row("  most at once", ready.largest_group.to_string());
+            let [took, sending] = [ready.largest_group_ms, ready.largest_group_sending_ms];
+            let multiple = ready.largest_group_multiple;
+            row("  all of these ready, ms", format!("{took:.0}: {multiple:.2} x {sending:.0}"));
+        }
+        let optional =
+            |value: Option<f64>| value.map_or("not told apart".into(), |value| format!("{value:.1}"));
+        if self.active.is_some() {
+            row("a node's processor time for a change, us", optional(self.node_change_us));
+            row("a node's processor time for a whole list, us", optional(self.node_whole_list_us));
+        }
+        row("replicas' calls, largest over mean", format!("{:.2}", self.calls_largest_over_mean));
+        row("replicas' lines, largest over mean", format!("{:.2}", self.lines_largest_over_mean));
+        let queue = self.replica_loads.iter().map(|load| load.longest_queue_ms).max().unwrap_or_default();
+        row("longest wait of a call for its turn, ms", queue.to_string());
+        row("steps carried out late by at most, ms", format!("{:.0}", self.most_late_ms));
+        if let Some(real) = self.real {
+            row("real nodes", real.nodes.to_string());
+            let answers = [real.requests, real.served, real.refused, real.failed];
+            row("  requests, served, refused, failed", answers.map(|count| count.to_string()).join(", "));
+            row("  rules broken, 1 to 4", real.rules_broken.map(|count| count.to_string()).join(", "));
+        }
+        table
+    }
+}
+
+/// A table with these headers, figures to the right.
+pub(super) fn bordered<const N: usize>(headers: [&str; N]) -> Table {
+    let mut table = Table::new();
+    table.load_preset(UTF8_BORDERS_ONLY).set_header(headers);
+    for column in 1..N {
+        if let Some(column) = table.column_mut(column) {
+            column.set_cell_alignment(CellAlignment::Right);
+        }
+    }
+    table
+}
+
+fn milliseconds(times: &Times) -> String {
+    format!("{:.1}, {:.1}, {:.1}", times.p50_ms, times.p99_ms, times.last_ms)
+}
+
+/// The largest over the mean; 0 where there is nothing.
+pub fn largest_over_mean(values: impl Iterator<Item = f64>) -> f64 {
+    let (count, sum, largest) = values.fold((0.0, 0.0, 0.0_f64), |(count, sum, largest), value| {
+        (count + 1.0, sum + value, largest.max(value))
+    });
+    if sum > 0.0 {
+        largest * count / sum
+    } else {
+        0.0
+    }
+}
--- /dev/null
+++ b/crates/rig/src/scale/snapshot.rs
@@ -0,0 +1,86 @@
+//! What all processes of a run have cost and done at one time, and the difference between two such times.
+
+use super::measure::Cost;
+use super::messages::ReplicaReport;
+use std::time::Instant;
+
+/// At one time, since the start of each process.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
+    /// When.
+    pub at: Instant,
+    /// All processes of hollow nodes.
+    pub hollow: Cost,
+    /// All replicas.
+    pub replicas: Cost,
+    /// The run itself.
+    pub run: Cost,
+    /// What each replica has done.
+    pub reports: Vec<ReplicaReport>,
+    /// Calls of hollow nodes that failed.
+    pub failed_calls: u64,
+}
+
+/// Between two times. Memory is that at the end.
+#[derive(Clone, Debug)]
+pub struct Window {
+    /// How long.
+    pub seconds: f64,
+    /// All processes of hollow nodes.
+    pub hollow: Cost,
+    /// All replicas.
+    pub replicas: Cost,
+    /// The run itself.
+    pub run: Cost,
+    /// What all replicas did together.
+    pub calls: ReplicaReport,
+    /// Calls of hollow nodes that failed.
+    pub failed_calls: u64,
+}
+
+impl Snapshot {
+    /// From an earlier time to this one.
+    pub fn since(&self, earlier: &Self) -> Window {
+        Window {
+            seconds: self.at.duration_since(earlier.at).as_secs_f64(),
+            hollow: spent(&self.hollow, &earlier.hollow),
+            replicas: spent(&self.replicas, &earlier.replicas),
+            run: spent(&self.run, &earlier.run),
+            calls: self.loads_since(earlier).into_iter().fold(ReplicaReport::default(), sum),
+            failed_calls: self.failed_calls.saturating_sub(earlier.failed_calls),
+        }
+    }
+
+    /// What each replica did from an earlier time to this one. The longest queue is that of the whole run.
+    pub fn loads_since(&self, earlier: &Self) -> Vec<ReplicaReport> {
+        self.reports.iter().zip(&earlier.reports).map(|(now, before)| done(now, before)).collect()
+    }
+}
+
+fn spent(now: &Cost, before: &Cost) -> Cost {
+    Cost { processor: now.processor.saturating_sub(before.processor), resident_bytes: now.resident_bytes }
+}
+
+fn done(now: &ReplicaReport, before: &ReplicaReport) -> ReplicaReport {
+    ReplicaReport {
+        calls: now.calls.saturating_sub(before.calls),
+        refused: now.refused.saturating_sub(before.refused),
+        whole_lists: now.whole_lists.saturating_sub(before.whole_lists),
+        lines: now.lines - before.lines,
+        bytes_in: now.bytes_in.saturating_sub(before.bytes_in),
+        bytes_out: now.bytes_out.saturating_sub(before.bytes_out),
+        longest_queue_ms: now.longest_queue_ms,
+    }
+}
+
+fn sum(sum: ReplicaReport, one: ReplicaReport) -> ReplicaReport {
+    ReplicaReport {
+        calls: sum.calls + one.calls,
+        refused: sum.refused + one.refused,
+        whole_lists: sum.whole_lists + one.whole_lists,
+        lines: sum.lines + one.lines,
+        bytes_in: sum.bytes_in + one.bytes_in,
+        bytes_out: sum.bytes_out + one.bytes_out,
+        longest_queue_ms: sum.longest_queue_ms.max(one.longest_queue_ms),
+    }
+}
