--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -15,6 +15,7 @@
 mod manager;
 mod readiness;
 mod rehearse;
+mod scale;
 mod stage;
 mod tally;
 mod upstream;
@@ -55,6 +56,8 @@
     Count(count::Arguments),
     /// Plays an incident with the real decisions, and judges it
     Rehearse(rehearse::Arguments),
+    /// Measures hundreds of hollow nodes against discovery by replicas, and lays lines through the figures
+    Scale(scale::Arguments),
 }
 
 /// A file that cannot be used.
@@ -63,6 +66,7 @@
 fn main() -> ExitCode {
     match Arguments::parse().command {
         Some(Command::Rehearse(arguments)) => rehearse::run(arguments),
+        Some(Command::Scale(arguments)) => scale::run(arguments),
         Some(Command::Count(arguments)) => count::run(&arguments),
         Some(Command::Check { file }) => check(&file),
         Some(Command::Run { config, with_parent }) => served(daemon::start_from(&config, with_parent)),
--- /dev/null
+++ b/crates/rig/src/scale/fit.rs
@@ -0,0 +1,311 @@
+//! Lays lines through the figures of runs at several sizes, by least squares, and predicts those of another size.
+
+use super::report::{bordered, ScaleReport, WindowFigures};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::fmt::Write;
+use thiserror::Error;
+
+/// A slope needs so many sizes at least.
+pub const LEAST_SIZES: usize = 3;
+
+/// What a figure is laid over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Over {
+    /// The number of hollow nodes.
+    Nodes,
+    /// The number of hollow nodes times that of servers on the list.
+    NodesTimesServers,
+    /// The number of servers on the list.
+    Servers,
+}
+
+/// A line through the points of one figure.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    /// The figure's name and unit.
+    pub figure: String,
+    /// What it is laid over.
+    pub over: Over,
+    /// Size and measured figure, in the order of the results.
+    pub points: Vec<(f64, f64)>,
+    /// Growth of the figure for each unit of the size.
+    pub slope: f64,
+    /// The figure at size 0.
+    pub intercept: f64,
+    /// Root of the mean square of what points lie off the line, in the figure's unit.
+    pub residual_rms: f64,
+    /// The largest part of its own value by which a point lies off the line.
+    pub residual_largest: f64,
+    /// Of another size, where one was given.
+    pub prediction: Option<Prediction>,
+}
+
+/// A figure of a size that the line was not laid through.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Prediction {
+    /// The size.
+    pub size: f64,
+    /// By the line.
+    pub predicted: f64,
+    /// By the run.
+    pub measured: f64,
+    /// By what part of the measured figure the predicted one is off; above 0, more was predicted.
+    pub miss: f64,
+}
+
+/// All lines.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Fit {
+    /// The script of all results.
+    pub name: String,
+    /// Nodes and servers of each result.
+    pub sizes: Vec<(u32, u32)>,
+    /// Those of the result that was predicted.
+    pub predicted_size: Option<(u32, u32)>,
+    /// The lines.
+    pub lines: Vec<Line>,
+}
+
+/// Why no line can be laid.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum FitError {
+    /// Too few sizes.
+    #[error("a slope needs results of {LEAST_SIZES} sizes at least, found {found}")]
+    TooFewSizes {
+        /// How many there are.
+        found: usize,
+    },
+    /// The results are not of one kind.
+    #[error(
+        "all results have to be of one script, replicas and mechanism: expected {expected}, found {found}"
+    )]
+    Mixed {
+        /// What the first one is of.
+        expected: String,
+        /// What another one is of.
+        found: String,
+    },
+}
+
+/// One figure of a result; `None` where it has none.
+type Figure = (&'static str, Over, fn(&ScaleReport) -> Option<f64>);
+
+fn active(report: &ScaleReport, of: impl Fn(&WindowFigures) -> f64) -> Option<f64> {
+    report.active.as_ref().map(of)
+}
+
+/// All figures that lines are laid through.
+const FIGURES: &[Figure] = &[
+    ("hollow nodes' processor at rest, s/s", Over::Nodes, |report| {
+        Some(report.rest.hollow_processor_s / report.rest.seconds)
+    }),
+    ("hollow nodes' resident at rest, bytes", Over::NodesTimesServers, |report| {
+        Some(report.rest.hollow_resident_bytes as f64)
+    }),
+    ("hollow nodes' resident at rest, bytes", Over::Nodes, |report| {
+        Some(report.rest.hollow_resident_bytes as f64)
+    }),
+    ("one node's resident at rest, bytes", Over::Servers, |report| Some(report.rest.node_resident_bytes)),
+    ("bytes from nodes at rest, B/s", Over::Nodes, |report| {
+        Some(report.rest.bytes_from_nodes as f64 / report.rest.seconds)
+    }),
+    ("bytes to nodes at rest, B/s", Over::Nodes, |report| {
+        Some(report.rest.bytes_to_nodes as f64 / report.rest.seconds)
+    }),
+    ("calls at rest, 1/s", Over::Nodes, |report| Some(report.rest.calls as f64 / report.rest.seconds)),
+    ("replicas' processor at rest, s/s", Over::Nodes, |report| {
+        Some(report.rest.replicas_processor_s / report.rest.seconds)
+    }),
+    ("hollow nodes' processor with events, s/s", Over::Nodes, |report| {
+        active(report, |window| window.hollow_processor_s / window.seconds)
+    }),
+    ("hollow nodes' processor with events, s/s", Over::NodesTimesServers, |report| {
+        active(report, |window| window.hollow_processor_s / window.seconds)
+    }),
+    ("one node's processor for a change, us", Over::Servers, |report| report.node_change_us),
+    ("one node's processor for a whole list, us", Over::Servers, |report| report.node_whole_list_us),
+    ("bytes to nodes with events, B/s", Over::Nodes, |report| {
+        active(report, |window| window.bytes_to_nodes as f64 / window.seconds)
+    }),
+    ("lines of all replicas with events, 1/s", Over::Nodes, |report| {
+        active(report, |window| window.lines / window.seconds)
+    }),
+    ("replicas' processor with events, s/s", Over::Nodes, |report| {
+        active(report, |window| window.replicas_processor_s / window.seconds)
+    }),
+    ("replicas' lines, largest over mean", Over::Nodes, |report| Some(report.lines_largest_over_mean)),
+    ("from change to act, p50, ms", Over::Nodes, |report| {
+        (report.acts.times.count > 0).then_some(report.acts.times.p50_ms)
+    }),
+    ("from change to act, p99, ms", Over::Nodes, |report| {
+        (report.acts.times.count > 0).then_some(report.acts.times.p99_ms)
+    }),
+    ("from change to act, last, ms", Over::Nodes, |report| {
+        (report.acts.times.count > 0).then_some(report.acts.times.last_ms)
+    }),
+    ("largest group ready, multiples of sending", Over::Nodes, |report| {
+        (report.ready.launched > 0).then_some(report.ready.largest_group_multiple)
+    }),
+];
+
+/// Lays lines through the results, and predicts another one by them.
+///
+/// # Errors
+/// With fewer than [`LEAST_SIZES`] sizes, or results of several kinds.
+pub fn fit(results: &[ScaleReport], predicted: Option<&ScaleReport>) -> Result<Fit, FitError> {
+    let size = |report: &ScaleReport| (report.nodes, report.servers);
+    let sizes: BTreeSet<_> = results.iter().map(size).collect();
+    if sizes.len() < LEAST_SIZES {
+        return Err(FitError::TooFewSizes { found: sizes.len() });
+    }
+    let expected = kind(&results[0]);
+    if let Some(found) = results.iter().chain(predicted).map(kind).find(|found| *found != expected) {
+        return Err(FitError::Mixed { expected, found });
+    }
+    let lines = FIGURES.iter().filter_map(|figure| line_of(figure, results, predicted)).collect();
+    Ok(Fit {
+        name: results[0].name.clone(),
+        sizes: results.iter().map(size).collect(),
+        predicted_size: predicted.map(size),
+        lines,
+    })
+}
+
+fn kind(report: &ScaleReport) -> String {
+    let mechanism = if report.mechanism { "on" } else { "off" };
+    format!("{} with {} replicas, mechanism {mechanism}", report.name, report.replicas)
+}
+
+/// `None` where a result lacks the figure, or all sizes are one.
+fn line_of(figure: &Figure, results: &[ScaleReport], predicted: Option<&ScaleReport>) -> Option<Line> {
+    let &(name, over, of) = figure;
+    let point = |report: &ScaleReport| Some((over.of(report), of(report)?));
+    let points = results.iter().map(point).collect::<Option<Vec<_>>>()?;
+    let mut line = Line::through(points)?;
+    line.figure = name.into();
+    line.over = over;
+    line.prediction = predicted.and_then(point).map(|(size, measured)| {
+        let predicted = line.at(size);
+        Prediction { size, predicted, measured, miss: relative(predicted - measured, measured) }
+    });
+    Some(line)
+}
+
+impl Over {
+    fn of(self, report: &ScaleReport) -> f64 {
+        let (nodes, servers) = (f64::from(report.nodes), f64::from(report.servers));
+        match self {
+            Over::Nodes => nodes,
+            Over::NodesTimesServers => nodes * servers,
+            Over::Servers => servers,
+        }
+    }
+
+    /// In words.
+    pub fn words(self) -> &'static str {
+        match self {
+            Over::Nodes => "nodes",
+            Over::NodesTimesServers => "nodes x servers",
+            Over::Servers => "servers",
+        }
+    }
+}
+
+impl Line {
+    /// The line that lies closest to these points, by the squares of what they lie off it in the figure. `None` where
+    /// the sizes of fewer than three differ.
+    pub fn through(points: Vec<(f64, f64)>) -> Option<Self> {
+        let different: BTreeSet<_> = points.iter().map(|(size, _)| size.to_bits()).collect();
+        if different.len() < LEAST_SIZES {
+            return None;
+        }
+        let count = points.len() as f64;
+        let mean_size = points.iter().map(|(size, _)| size).sum::<f64>() / count;
+        let mean_figure = points.iter().map(|(_, figure)| figure).sum::<f64>() / count;
+        let variance: f64 = points.iter().map(|(size, _)| (size - mean_size).powi(2)).sum();
+        let covariance: f64 =
+            points.iter().map(|(size, figure)| (size - mean_size) * (figure - mean_figure)).sum();
+        let slope = covariance / variance;
+        let intercept = mean_figure - slope * mean_size;
+        let off = |&(size, figure): &(f64, f64)| figure - (intercept + slope * size);
+        let squares: f64 = points.iter().map(|point| off(point).powi(2)).sum();
+        let largest = points.iter().map(|point| relative(off(point), point.1).abs()).fold(0.0, f64::max);
+        Some(Self {
+            figure: String::new(),
+            over: Over::Nodes,
+            slope,
+            intercept,
+            residual_rms: (squares / count).sqrt(),
+            residual_largest: largest,
+            prediction: None,
+            points,
+        })
+    }
+
+    /// The figure at a size.
+    pub fn at(&self, size: f64) -> f64 {
+        self.intercept + self.slope * size
+    }
+}
+
+/// A part of a value; nothing of nothing is nothing.
+fn relative(part: f64, of: f64) -> f64 {
+    if part == 0.0 {
+        0.0
+    } else {
+        part / of
+    }
+}
+
+impl Fit {
+    /// A table for the terminal.
+    pub fn text(&self) -> String {
+        let shown = |(nodes, servers): &(u32, u32)| format!("{nodes} x {servers}");
+        let sizes: Vec<_> = self.sizes.iter().map(shown).collect();
+        let mut text = format!("{}: lines through nodes x servers of {}", self.name, sizes.join(", "));
+        if let Some(size) = &self.predicted_size {
+            let _ = write!(text, "; {} predicted", shown(size));
+        }
+        let mut table = bordered([
+            "figure",
+            "over",
+            "slope",
+            "intercept",
+            "residual, RMS",
+            "largest",
+            "predicted",
+            "measured",
+            "miss",
+        ]);
+        for line in &self.lines {
+            let prediction =
+                |of: &dyn Fn(&Prediction) -> String| line.prediction.as_ref().map(of).unwrap_or_default();
+            table.add_row([
+                line.figure.clone(),
+                line.over.words().into(),
+                number(line.slope),
+                number(line.intercept),
+                number(line.residual_rms),
+                format!("{:.1}%", line.residual_largest * 100.0),
+                prediction(&|prediction| number(prediction.predicted)),
+                prediction(&|prediction| number(prediction.measured)),
+                prediction(&|prediction| format!("{:+.1}%", prediction.miss * 100.0)),
+            ]);
+        }
+        let _ = write!(text, "\n{table}\n");
+        text
+    }
+}
+
+/// Four significant digits.
+fn number(value: f64) -> String {
+    if value == 0.0 || (0.01..1e6).contains(&value.abs()) {
+        let whole_digits = value.abs().max(1.0).log10().floor() as usize + 1;
+        let decimals = 5_usize.saturating_sub(whole_digits);
+        format!("{value:.decimals$}")
+    } else {
+        format!("{value:.3e}")
+    }
+}
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -6,13 +6,16 @@
 //! - [`ScaleScript`] is read from TOML; [`scenarios`] has those that ship. [`events`] draws its steps.
 //! - [`needs`] compares what a run takes with what the machine has, before anything starts.
 //! - [`run`](run::run) starts the [`processes`], carries the steps out and [measures](measure).
-//! - [`acts`] knows when which node acted on what; [`report`] shows it.
+//! - [`acts`] knows when which node acted on what; [`report`] shows it, and [`plot`] draws it.
+//! - [`fit`] lays lines through the figures of several sizes.
 
 pub mod acts;
 pub mod events;
+pub mod fit;
 pub mod measure;
 pub mod messages;
 pub mod needs;
+pub mod plot;
 pub mod processes;
 pub mod replicas;
 pub mod report;
