Draw which server is in a seat once all of a run's events are drawn

A restart that came before a replacement, of an event drawn after it, named the successor that was not there yet. Tests of scripts, needs, steps, acts and fits.

--- a/crates/rig/src/scale/events.rs
+++ b/crates/rig/src/scale/events.rs
@@ -96,6 +96,7 @@
     for (number, event) in zones.into_iter().chain(others) {
         planner.event(event, Draw::new(script.seed).on(number as u64));
     }
+    planner.carry_out_servers();
     let mut planned = planner.planned;
     planned.sort_by_key(|planned| planned.at);
     planned
@@ -128,11 +129,28 @@
     }
 }
 
+/// What is drawn for a server.
+#[derive(Clone, Copy, Debug)]
+struct ServerJob {
+    seat: u32,
+    at: Duration,
+    kind: ServerJobKind,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum ServerJobKind {
+    /// It drains, is gone after one step, and its successor is ready after another.
+    Replace { step: Duration },
+    /// It is gone, and ready again at this time.
+    Restart { back: Duration },
+}
+
 struct Planner<'a> {
     script: &'a ScaleScript,
     nodes: Occupied,
     servers: Occupied,
-    generations: Vec<u16>,
+    /// Which server is in a seat is known once all of them are drawn.
+    server_jobs: Vec<ServerJob>,
     planned: Vec<Planned>,
 }
 
@@ -142,7 +160,7 @@
             script,
             nodes: Occupied::new(script.nodes),
             servers: Occupied::new(script.servers),
-            generations: vec![0; script.servers as usize],
+            server_jobs: Vec::new(),
             planned: Vec::new(),
         }
     }
@@ -207,23 +225,11 @@
         for (number, at) in times(event, replacements_a_day, takes, draw).into_iter().enumerate() {
             let draw = draw.on(1).on(number as u64);
             if let Some(seat) = self.servers.draw(draw, at, at + takes) {
-                self.replace(seat, at, step);
+                self.server_jobs.push(ServerJob { seat, at, kind: ServerJobKind::Replace { step } });
             }
         }
     }
 
-    fn replace(&mut self, seat: u32, at: Duration, step: Duration) {
-        let generation = self.generations[seat as usize];
-        let before = server(self.script, seat, generation);
-        let after = server(self.script, seat, generation.saturating_add(1));
-        self.generations[seat as usize] = generation.saturating_add(1);
-        let with_health = |health: &str| ListedServer { health: health.into(), ..before.clone() };
-        let (draining, gone) = (with_health("draining"), with_health("gone"));
-        self.step(at, Step::Change { server: draining, starts: false });
-        self.step(at + step, Step::Change { server: gone, starts: false });
-        self.step(at + step * 2, Step::Change { server: after, starts: true });
-    }
-
     fn restarts(&mut self, event: &Event, per_day: f64, down: Duration, draw: Draw) {
         let machines = u64::from(self.script.nodes + self.script.servers);
         for (number, at) in times(event, per_day, down, draw).into_iter().enumerate() {
@@ -236,18 +242,11 @@
                     self.step(back, Step::Launch(vec![node]));
                 }
             } else if let Some(seat) = self.servers.draw(draw.on(1), at, back) {
-                self.restart_server(seat, at, back);
+                self.server_jobs.push(ServerJob { seat, at, kind: ServerJobKind::Restart { back } });
             }
         }
     }
 
-    fn restart_server(&mut self, seat: u32, at: Duration, back: Duration) {
-        let server = server(self.script, seat, self.generations[seat as usize]);
-        let gone = ListedServer { health: "gone".into(), ..server.clone() };
-        self.step(at, Step::Change { server: gone, starts: false });
-        self.step(back, Step::Change { server, starts: true });
-    }
-
     fn zone(&mut self, event: &Event, zone: u32) {
         let (from, to) = (event.at, event.at + event.over);
         let in_zone = |number: &u32| number % self.script.zones == zone;
@@ -256,7 +255,8 @@
         let seats: Vec<_> = (0..self.script.servers).filter(in_zone).collect();
         for seat in seats {
             if self.servers.take(seat, from, to) {
-                self.restart_server(seat, from, to);
+                let kind = ServerJobKind::Restart { back: to };
+                self.server_jobs.push(ServerJob { seat, at: from, kind });
             }
         }
         if !nodes.is_empty() {
@@ -264,6 +264,42 @@
             self.step(to, Step::Launch(nodes));
         }
     }
+
+    /// Turns what is drawn for servers into changes of the list, each of the server that is in the seat by then.
+    fn carry_out_servers(&mut self) {
+        let mut jobs = std::mem::take(&mut self.server_jobs);
+        jobs.sort_by_key(|job| job.at);
+        let mut generations = vec![0_u16; self.script.servers as usize];
+        for ServerJob { seat, at, kind } in jobs {
+            let generation = &mut generations[seat as usize];
+            let present = server(self.script, seat, *generation);
+            match kind {
+                ServerJobKind::Replace { step } => {
+                    *generation = generation.saturating_add(1);
+                    let successor = server(self.script, seat, *generation);
+                    self.change(at, with_health(&present, "draining"));
+                    self.change(at + step, with_health(&present, "gone"));
+                    self.server_starts(at + step * 2, successor);
+                }
+                ServerJobKind::Restart { back } => {
+                    self.change(at, with_health(&present, "gone"));
+                    self.server_starts(back, present);
+                }
+            }
+        }
+    }
+
+    fn change(&mut self, at: Duration, server: ListedServer) {
+        self.step(at, Step::Change { server, starts: false });
+    }
+
+    fn server_starts(&mut self, at: Duration, server: ListedServer) {
+        self.step(at, Step::Change { server, starts: true });
+    }
+}
+
+fn with_health(server: &ListedServer, health: &str) -> ListedServer {
+    ListedServer { health: health.into(), ..server.clone() }
 }
 
 /// When things of a rate begin that take so long, within an event: evenly, each drawn within its part. At least one.
--- /dev/null
+++ b/crates/rig/tests/scale_events.rs
@@ -0,0 +1,173 @@
+//! The steps that a script's events are drawn to.
+
+use rig::scale::events::{plan, servers_at_start, Planned, Step};
+use rig::scale::messages::Answering;
+use rig::scale::script::{Event, EventKind};
+use rig::scale::{scenarios, ScaleScript};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+fn shipped(name: &str) -> ScaleScript {
+    let scenario = scenarios::named(name).unwrap();
+    ScaleScript::parse(scenario.name, scenario.text).unwrap()
+}
+
+fn with_event(what: EventKind) -> ScaleScript {
+    let event = Event { at: Duration::from_secs(5), over: Duration::from_secs(20), what };
+    ScaleScript { events: vec![event], ..shipped("quiet") }
+}
+
+fn changes(steps: &[Planned]) -> usize {
+    steps.iter().filter(|planned| matches!(planned.step, Step::Change { .. })).count()
+}
+
+#[test]
+fn a_seed_draws_the_same_steps_again_and_another_one_draws_others() {
+    for scenario in scenarios::ALL.iter().filter(|scenario| scenario.name != "quiet") {
+        let script = shipped(scenario.name);
+        assert_eq!(plan(&script), plan(&script), "{}", scenario.name);
+        assert!(!plan(&script).is_empty(), "{}", scenario.name);
+    }
+    let script = shipped("changes-tenfold");
+    assert_ne!(plan(&script), plan(&ScaleScript { seed: script.seed + 1, ..script.clone() }));
+}
+
+#[test]
+fn steps_come_in_the_order_of_time_and_within_the_length() {
+    for scenario in scenarios::ALL {
+        let script = shipped(scenario.name);
+        let times: Vec<_> = plan(&script).iter().map(|planned| planned.at).collect();
+        assert!(times.is_sorted(), "{}", scenario.name);
+        assert!(
+            times.iter().all(|at| *at <= script.length && *at >= script.first_event()),
+            "{}",
+            scenario.name
+        );
+    }
+}
+
+#[test]
+fn changes_come_at_their_rate() {
+    // 40 s of a day are 1/2160.
+    assert_eq!(changes(&plan(&shipped("changes"))), 6);
+    assert_eq!(changes(&plan(&shipped("changes-tenfold"))), 57);
+}
+
+#[test]
+fn a_replaced_server_drains_is_gone_and_has_a_successor_in_its_zone() {
+    let script = shipped("changes-tenfold");
+    let mut entries: BTreeMap<_, _> =
+        servers_at_start(&script).into_iter().map(|server| (server.host.clone(), server)).collect();
+    assert_eq!(entries.len(), script.servers as usize);
+    for Planned { step, .. } in plan(&script) {
+        let Step::Change { server, starts } = step else { panic!("{step:?}") };
+        let before = entries.get(&server.host).map(|entry| entry.health.clone());
+        match server.health.as_str() {
+            "draining" => assert_eq!(before.as_deref(), Some("ready"), "{}", server.host),
+            "gone" => assert_eq!(before.as_deref(), Some("draining"), "{}", server.host),
+            "ready" => assert!(before.is_none() && starts, "{}", server.host),
+            other => panic!("{other}"),
+        }
+        entries.insert(server.host.clone(), server);
+    }
+    let dials: BTreeSet<_> = entries.values().map(|server| server.dial).collect();
+    assert_eq!(dials.len(), entries.len());
+    let ready = entries.values().filter(|server| server.health == "ready").count();
+    assert_eq!(ready, script.servers as usize);
+}
+
+#[test]
+fn restarts_strike_nodes_and_servers_in_proportion_and_all_come_back() {
+    let script = ScaleScript {
+        nodes: 900,
+        servers: 100,
+        ..with_event(EventKind::Restarts {
+            // 200 in 20 s.
+            per_day: 864_000.0,
+            down: Duration::from_secs(1),
+        })
+    };
+    let steps = plan(&script);
+    let (mut killed, mut launched, mut gone, mut ready) = (0, 0, 0, 0);
+    for Planned { step, .. } in &steps {
+        match step {
+            Step::Kill(nodes) => killed += nodes.len(),
+            Step::Launch(nodes) => launched += nodes.len(),
+            Step::Change { server, .. } if server.health == "gone" => gone += 1,
+            Step::Change { server, starts: true } if server.health == "ready" => ready += 1,
+            other => panic!("{other:?}"),
+        }
+    }
+    assert_eq!((killed, gone), (launched, ready));
+    assert_eq!(killed + gone, 200);
+    assert!((10..=32).contains(&gone), "{gone} of 200 restarts were of servers, 20 expected");
+}
+
+#[test]
+fn a_zone_is_lost_with_all_that_is_in_it_and_comes_back() {
+    let lost = with_event(EventKind::Zone { zone: Some(12) });
+    let script = ScaleScript { nodes: 5_900, servers: 1_100, ..lost };
+    let steps = plan(&script);
+    let killed = steps.iter().find_map(|planned| match &planned.step {
+        Step::Kill(nodes) => Some((planned.at, nodes.clone())),
+        _ => None,
+    });
+    let launched = steps.iter().find_map(|planned| match &planned.step {
+        Step::Launch(nodes) => Some((planned.at, nodes.clone())),
+        _ => None,
+    });
+    let (killed, launched) = (killed.unwrap(), launched.unwrap());
+    assert_eq!(killed.1, launched.1);
+    assert_eq!((killed.0.as_secs(), launched.0.as_secs(), killed.1.len()), (5, 25, 174));
+    assert!(killed.1.iter().all(|node| node % 34 == 12));
+    // 32 servers are gone, and ready again.
+    assert_eq!(changes(&steps), 64);
+    let zone = script.zone_name(12);
+    let in_zone = |planned: &Planned| match &planned.step {
+        Step::Change { server, .. } => server.site == zone,
+        _ => true,
+    };
+    assert!(steps.iter().all(in_zone));
+}
+
+#[test]
+fn nothing_is_drawn_for_two_things_at_once() {
+    let mut script = ScaleScript { servers: 40, nodes: 40, ..shipped("zone") };
+    let over = Duration::from_secs(25);
+    let at = Duration::from_secs(20);
+    let step = Duration::from_secs(2);
+    script.events.push(Event { at, over, what: EventKind::Changes { per_day: 100_000.0, step } });
+    script.events.push(Event { at, over, what: EventKind::Restarts { per_day: 100_000.0, down: step } });
+    let mut health: BTreeMap<String, String> = BTreeMap::new();
+    let mut down = BTreeSet::new();
+    for Planned { step, .. } in plan(&script) {
+        match step {
+            Step::Kill(nodes) => {
+                nodes.iter().for_each(|node| assert!(down.insert(*node), "{node} killed twice"))
+            }
+            Step::Launch(nodes) => nodes.iter().for_each(|node| assert!(down.remove(node), "{node} ran")),
+            Step::Change { server, .. } => {
+                let before = health.insert(server.host.clone(), server.health.clone());
+                assert_ne!(before, Some(server.health), "{}", server.host);
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(down.is_empty());
+}
+
+#[test]
+fn without_the_mechanism_it_is_the_one_known_replica_that_fails() {
+    let script = ScaleScript { mechanism: false, ..with_event(EventKind::ReplicaLost { replica: Some(5) }) };
+    let steps: Vec<_> = plan(&script).into_iter().map(|planned| planned.step).collect();
+    let answers = |answering| Step::Answer { replicas: vec![0], answering };
+    assert_eq!(steps, [answers(Answering::Away), answers(Answering::Up)]);
+}
+
+#[test]
+fn discovery_away_is_all_replicas_away() {
+    let script = ScaleScript { replicas: 4, ..with_event(EventKind::DiscoveryAway) };
+    let steps: Vec<_> = plan(&script).into_iter().map(|planned| planned.step).collect();
+    let answers = |answering| Step::Answer { replicas: vec![0, 1, 2, 3], answering };
+    assert_eq!(steps, [answers(Answering::Away), answers(Answering::Up)]);
+}
--- /dev/null
+++ b/crates/rig/tests/scale_fit.rs
@@ -0,0 +1,135 @@
+//! Lines through the figures of several sizes.
+
+use rig::draw::Draw;
+use rig::scale::acts::{ActFigures, ReadyFigures};
+use rig::scale::fit::{fit, FitError, Line, Over};
+use rig::scale::messages::ReplicaCapacity;
+use rig::scale::report::{largest_over_mean, ScaleReport, WindowFigures, VERSION};
+
+/// A result in which a node takes 5 us a second and its memory is 40,000 bytes and 300 for each server.
+fn result(nodes: u32, servers: u32) -> ScaleReport {
+    let node_bytes = 40_000.0 + 300.0 * f64::from(servers);
+    let rest = WindowFigures {
+        seconds: 10.0,
+        hollow_processor_s: 10.0 * (0.01 + 5e-6 * f64::from(nodes)),
+        hollow_resident_bytes: (f64::from(nodes) * node_bytes) as u64,
+        node_resident_bytes: node_bytes,
+        ..WindowFigures::default()
+    };
+    ScaleReport {
+        version: VERSION,
+        name: "quiet".into(),
+        seed: 1,
+        nodes,
+        servers,
+        hollow_processes: 4,
+        replicas: 16,
+        mechanism: true,
+        capacity: ReplicaCapacity {
+            lines_per_second: 1.0,
+            call_lines: 1.0,
+            continued_call_lines: 1.0,
+            queue_limit_ms: 1,
+        },
+        most_late_ms: 0.0,
+        rest,
+        active: None,
+        acts: ActFigures::default(),
+        ready: ReadyFigures::default(),
+        node_change_us: None,
+        node_whole_list_us: None,
+        replica_loads: Vec::new(),
+        calls_largest_over_mean: 1.0,
+        lines_largest_over_mean: 1.0,
+        real: None,
+    }
+}
+
+#[test]
+fn a_line_without_noise_is_found_and_predicts_another_size() {
+    let results = [result(500, 100), result(1_000, 200), result(2_000, 400)];
+    let fit = fit(&results, Some(&result(5_900, 1_100))).unwrap();
+    assert_eq!(fit.predicted_size, Some((5_900, 1_100)));
+    let line = |over, name: &str| {
+        fit.lines.iter().find(|line| line.over == over && line.figure.contains(name)).unwrap()
+    };
+    let processor = line(Over::Nodes, "processor at rest");
+    assert!(
+        (processor.slope - 5e-6).abs() < 1e-12 && (processor.intercept - 0.01).abs() < 1e-9,
+        "{processor:?}"
+    );
+    assert!(processor.residual_largest < 1e-9);
+    let prediction = processor.prediction.unwrap();
+    assert!((prediction.predicted - 0.0395).abs() < 1e-9 && prediction.miss.abs() < 1e-9, "{prediction:?}");
+    let memory = line(Over::Servers, "one node's resident");
+    assert!((memory.slope - 300.0).abs() < 1e-6 && (memory.intercept - 40_000.0).abs() < 1e-3, "{memory:?}");
+    assert!(fit.text().contains("5900 x 1100 predicted"), "{}", fit.text());
+}
+
+#[test]
+fn a_line_through_noise_is_found_within_the_noise() {
+    let noise = 0.02;
+    let points: Vec<_> = (1..=40)
+        .map(|n| {
+            let size = f64::from(n) * 100.0;
+            let figure = 3.0 + 0.5 * size;
+            (size, figure * Draw::new(5).on(n as u64).between(1.0 - noise, 1.0 + noise))
+        })
+        .collect();
+    let line = Line::through(points).unwrap();
+    assert!((line.slope - 0.5).abs() < 0.5 * noise, "{line:?}");
+    assert!(line.residual_rms > 0.0 && line.residual_largest > 0.0, "{line:?}");
+}
+
+#[test]
+fn the_line_of_least_squares_is_the_textbooks() {
+    // Points (1, 1), (2, 2), (3, 4): slope 3/2, intercept -2/3, and residuals 1/6, -1/3, 1/6.
+    let line = Line::through(vec![(1.0, 1.0), (2.0, 2.0), (3.0, 4.0)]).unwrap();
+    assert!((line.slope - 1.5).abs() < 1e-12 && (line.intercept + 2.0 / 3.0).abs() < 1e-12);
+    assert!((line.residual_rms - (1.0_f64 / 18.0).sqrt()).abs() < 1e-12);
+    assert!((line.residual_largest - 1.0 / 6.0).abs() < 1e-12);
+}
+
+#[test]
+fn a_miss_is_told_as_a_part_of_what_was_measured() {
+    let results = [result(500, 100), result(1_000, 200), result(2_000, 400)];
+    let mut larger = result(4_000, 800);
+    larger.rest.hollow_processor_s *= 2.0;
+    let fit = fit(&results, Some(&larger)).unwrap();
+    let prediction = fit.lines[0].prediction.unwrap();
+    assert!((prediction.miss + 0.5).abs() < 1e-9, "{prediction:?}");
+}
+
+#[test]
+fn fewer_than_three_sizes_are_refused() {
+    let two = [result(500, 100), result(1_000, 200), result(1_000, 200)];
+    assert_eq!(fit(&two, None), Err(FitError::TooFewSizes { found: 2 }));
+    assert_eq!(fit(&[], None), Err(FitError::TooFewSizes { found: 0 }));
+    assert!(Line::through(vec![(1.0, 1.0), (2.0, 2.0), (2.0, 3.0)]).is_none());
+}
+
+#[test]
+fn results_of_different_kinds_are_refused() {
+    let mut other = result(2_000, 400);
+    other.mechanism = false;
+    let mixed = fit(&[result(500, 100), result(1_000, 200), other], None).unwrap_err();
+    assert_eq!(
+        mixed.to_string(),
+        "all results have to be of one script, replicas and mechanism: expected quiet with 16 replicas, mechanism on, \
+         found quiet with 16 replicas, mechanism off"
+    );
+}
+
+#[test]
+fn a_result_is_read_again_as_it_was_written() {
+    let report = result(500, 100);
+    assert_eq!(ScaleReport::parse(&report.json().unwrap()).unwrap(), report);
+    let newer = report.json().unwrap().replacen("\"version\":1", "\"version\":2", 1);
+    assert!(ScaleReport::parse(&newer).unwrap_err().to_string().contains("expected version 1, found 2"));
+}
+
+#[test]
+fn a_share_is_told_by_the_largest_over_the_mean() {
+    assert_eq!(largest_over_mean([1.0, 2.0, 3.0].into_iter()), 1.5);
+    assert_eq!(largest_over_mean([0.0, 0.0].into_iter()), 0.0);
+}
--- /dev/null
+++ b/crates/rig/tests/scale_needs.rs
@@ -0,0 +1,66 @@
+//! What a scale run needs of its machine.
+
+use rig::scale::needs::{Limits, Needs, MOST_DESCRIPTORS, MOST_PROCESSES};
+use rig::scale::{scenarios, ScaleScript};
+
+const GIB: u64 = 1 << 30;
+const ROOMY: Limits =
+    Limits { descriptors: MOST_DESCRIPTORS, memory_bytes: 64 * GIB, processes: MOST_PROCESSES };
+
+fn script() -> ScaleScript {
+    let scenario = scenarios::named("quiet").unwrap();
+    ScaleScript::parse(scenario.name, scenario.text).unwrap()
+}
+
+#[test]
+fn the_size_that_is_coming_fits_into_a_machine_of_24_gib() {
+    let script = ScaleScript { nodes: 5_900, servers: 1_100, ..script() };
+    let limits = Limits { memory_bytes: 12 * GIB, ..ROOMY };
+    assert_eq!(Needs::of(&script).fit(&limits), Ok(()));
+}
+
+#[test]
+fn all_that_does_not_fit_is_told_with_its_figures() {
+    let script =
+        ScaleScript { nodes: 20_000, servers: 4_000, hollow_processes: 200, replicas: 64, ..script() };
+    let script = ScaleScript { real: rig::scale::script::RealLoad { nodes: 20, rate: 1.0 }, ..script };
+    let limits = Limits { descriptors: 20_000, memory_bytes: GIB, processes: 200 };
+    let needs = Needs::of(&script);
+    let faults = needs.fit(&limits).unwrap_err();
+    let told: Vec<_> = faults.iter().map(ToString::to_string).collect();
+    assert_eq!(faults.len(), 3, "{told:?}");
+    assert_eq!(
+        told[0],
+        "descriptors: the run needs 20084 in one process, 20000 are allowed (20,000, or the process's own limit)"
+    );
+    assert!(
+        told[1].starts_with("memory: the run needs ") && told[1].contains(" MiB, 1024 are allowed"),
+        "{told:?}"
+    );
+    assert_eq!(told[2], "processes: the run needs 285 in all, 200 are allowed (of a run)");
+}
+
+#[test]
+fn more_processes_need_fewer_descriptors_each_until_replicas_need_more() {
+    let descriptors =
+        |hollow_processes| Needs::of(&ScaleScript { nodes: 5_000, hollow_processes, ..script() }).descriptors;
+    assert_eq!(descriptors(1), 5_000 * 2 + 64);
+    assert_eq!(descriptors(2), 2_500 * 2 + 64);
+    // All nodes may end at one replica.
+    assert_eq!(descriptors(100), 5_000 + 64);
+}
+
+#[test]
+fn memory_grows_with_nodes_times_servers() {
+    let memory = |nodes, servers| Needs::of(&ScaleScript { nodes, servers, ..script() }).memory_bytes;
+    let for_servers = |nodes| memory(nodes, 2_000) - memory(nodes, 1_000);
+    assert_eq!(for_servers(2_000), 2 * for_servers(1_000));
+    assert!(memory(2_000, 1_000) > memory(1_000, 1_000));
+}
+
+#[test]
+fn this_machine_tells_its_limits() {
+    let limits = Limits::of_this_machine().unwrap();
+    assert!(limits.descriptors > 0 && limits.descriptors <= MOST_DESCRIPTORS);
+    assert!(limits.memory_bytes > 0);
+}
