--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod fronts;
 mod handover;
+mod hollow;
 mod input;
 mod list_file;
 mod listing;
@@ -58,6 +59,12 @@
     Rehearse(rehearse::Arguments),
     /// Measures hundreds of hollow nodes against discovery by replicas, and lays lines through the figures
     Scale(scale::Arguments),
+    /// One replica of the stand-in discovery of a scale run
+    #[command(hide = true)]
+    ScaleReplica,
+    /// Hollow nodes of a scale run
+    #[command(hide = true)]
+    ScaleHollow,
 }
 
 /// A file that cannot be used.
@@ -71,6 +78,8 @@
         Some(Command::Check { file }) => check(&file),
         Some(Command::Run { config, with_parent }) => served(daemon::start_from(&config, with_parent)),
         Some(Command::Fleet(arguments)) => fleet::run(arguments),
+        Some(Command::ScaleReplica) => served(rig::scale::replica::run().map_err(Into::into)),
+        Some(Command::ScaleHollow) => served(hollow::run().map_err(Into::into)),
         None => served(daemon::start()),
     }
 }
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -1,7 +1,8 @@
 //! Scale runs: hundreds of hollow nodes in each of a few processes, beside real ones, against discovery by replicas.
 //!
 //! A hollow node is the real discovery client with the real decisions and no clients (as Kubernetes' Kubemark has hollow
-//! kubelets). Processes talk to the run by the lines of JSON in [`messages`].
+//! kubelets). Processes talk to the run by the lines of JSON in [`messages`], which [`process`] reads and writes;
+//! [`replica`] is one replica of discovery.
 //!
 //! - [`ScaleScript`] is read from TOML; [`scenarios`] has those that ship. [`events`] draws its steps.
 //! - [`needs`] compares what a run takes with what the machine has, before anything starts.
@@ -16,7 +17,9 @@
 pub mod messages;
 pub mod needs;
 pub mod plot;
+pub mod process;
 pub mod processes;
+pub mod replica;
 pub mod replicas;
 pub mod report;
 pub mod run;
