--- a/crates/rig/src/scale/measure.rs
+++ b/crates/rig/src/scale/measure.rs
@@ -1,5 +1,6 @@
 //! What processes cost, by the files of `/proc`.
 
+use super::real::Usage;
 use std::fs;
 use std::io;
 use std::iter::Sum;
@@ -28,13 +29,14 @@
 /// # Errors
 /// When it has ended, or the system does not tell.
 pub fn cost_of(process: u32) -> io::Result<Cost> {
-    let processor = scheduled(process).or_else(|_| ticked(process))?;
-    let status = fs::read_to_string(format!("/proc/{process}/status"))?;
-    Ok(Cost { processor, resident_bytes: resident(&status).ok_or(io::ErrorKind::InvalidData)? })
+    let usage = Usage::of(process)?;
+    // By ticks where the system keeps no finer count.
+    let processor = scheduled(process).unwrap_or(usage.processor);
+    Ok(Cost { processor, resident_bytes: usage.rss_anon })
 }
 
-/// The time that the scheduler gave to all threads, in nanoseconds; threads that have ended are not in it, and the
-/// processes of a run end none while they work.
+/// The time that the scheduler gave to all threads, in nanoseconds. Threads that have ended are not in it; the processes of
+/// a run end none while they work.
 fn scheduled(process: u32) -> io::Result<Duration> {
     let mut sum = Duration::ZERO;
     for thread in fs::read_dir(format!("/proc/{process}/task"))? {
@@ -44,26 +46,3 @@
     }
     Ok(sum)
 }
-
-/// The same by the system's ticks, most often of 10 ms.
-fn ticked(process: u32) -> io::Result<Duration> {
-    let stat = fs::read_to_string(format!("/proc/{process}/stat"))?;
-    let ticks = ticks_of(&stat).ok_or(io::ErrorKind::InvalidData)?;
-    Ok(Duration::from_secs_f64(ticks as f64 / rustix::param::clock_ticks_per_second() as f64))
-}
-
-/// The ticks of user and system, in the text of a process's `stat`.
-fn ticks_of(stat: &str) -> Option<u64> {
-    // The second field is the program's name in brackets, and may hold spaces.
-    let (_, after_name) = stat.rsplit_once(')')?;
-    let mut fields = after_name.split_whitespace().skip(11);
-    let user: u64 = fields.next()?.parse().ok()?;
-    let system: u64 = fields.next()?.parse().ok()?;
-    Some(user + system)
-}
-
-fn resident(status: &str) -> Option<u64> {
-    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
-    let kib: u64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
-    Some(kib * 1_024)
-}
--- a/crates/rig/src/scale/run.rs
+++ b/crates/rig/src/scale/run.rs
@@ -1,12 +1,12 @@
 //! One scale run: starts the processes, carries the steps out at their times, and takes the measurements.
 
 use super::acts::Acts;
+use super::children::{ChildError, Children, Heard, Who};
 use super::events::{plan, servers_at_start, Planned, Step};
 use super::measure::{cost_of, Cost};
 use super::messages::{Answering, HollowCommand, HollowEvent, ReplicaCommand, ReplicaEvent, ReplicaReport};
 use super::needs::{Limits, LimitsError, NeedFault, Needs};
-use super::processes::{ChildError, Heard, Processes, Who};
-use super::replicas::{ReplicaSet, Told};
+use super::replica_set::{ReplicaSet, Told};
 use super::report::{largest_over_mean, ScaleReport, WindowFigures, VERSION};
 use super::script::ScaleScript;
 use super::snapshot::{Snapshot, Window};
@@ -143,13 +143,13 @@
     }
     let last = run.snapshot().await?;
     let report = run.report(&first, &rest, &last, (!steps.is_empty()).then_some(events_from_us));
-    run.processes.stop().await;
+    run.children.stop().await;
     Ok(report)
 }
 
 struct Run<'a, P> {
     script: &'a ScaleScript,
-    processes: Processes,
+    children: Children,
     replicas: ReplicaSet,
     addresses: Vec<SocketAddr>,
     acts: Acts,
@@ -172,7 +172,7 @@
         let replicas = script.running_replicas();
         Self {
             script,
-            processes: Processes::default(),
+            children: Children::default(),
             replicas: ReplicaSet::new(replicas, FIRST_VERSION, &servers_at_start(script)),
             addresses: Vec::new(),
             acts: Acts::new(script.nodes, unix_us(), FIRST_VERSION),
@@ -197,20 +197,20 @@
     async fn start(&mut self, program: &Path) -> Result<(), RunError> {
         let servers = servers_at_start(self.script);
         for number in 0..self.reports.len() {
-            self.processes.start(program, Who::Replica(number))?;
+            self.children.start(program, Who::Replica(number))?;
             let command = ReplicaCommand::Start {
                 listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
                 capacity: self.script.capacity,
                 version: FIRST_VERSION,
                 servers: servers.clone(),
             };
-            self.processes.tell_replica(number, &command).await?;
+            self.children.tell_replica(number, &command).await?;
             // In their order, so that addresses are by number.
             self.hear_until(STARTS, Who::Replica(number), |run| run.addresses.len() > number).await?;
         }
         let mut first = 0;
         for (number, count) in self.shares().into_iter().enumerate() {
-            self.processes.start(program, Who::Hollow(number))?;
+            self.children.start(program, Who::Hollow(number))?;
             let command = HollowCommand::Start {
                 first,
                 count,
@@ -222,7 +222,7 @@
                 seed: self.script.seed,
                 zones: (0..self.script.zones).map(|zone| self.script.zone_name(zone)).collect(),
             };
-            self.processes.tell_hollow(number, &command).await?;
+            self.children.tell_hollow(number, &command).await?;
             first += count;
         }
         let processes = self.shares().len();
@@ -269,7 +269,7 @@
             }
             Step::Kill(nodes) => {
                 for (process, nodes) in self.by_process(nodes) {
-                    self.processes.tell_hollow(process, &HollowCommand::Kill { nodes }).await?;
+                    self.children.tell_hollow(process, &HollowCommand::Kill { nodes }).await?;
                 }
                 self.acts.killed(nodes, unix_us());
                 Ok(())
@@ -277,7 +277,7 @@
             Step::Launch(nodes) => {
                 self.acts.launched(nodes, unix_us(), self.sending_ms(nodes.len()));
                 for (process, nodes) in self.by_process(nodes) {
-                    self.processes.tell_hollow(process, &HollowCommand::Launch { nodes }).await?;
+                    self.children.tell_hollow(process, &HollowCommand::Launch { nodes }).await?;
                 }
                 Ok(())
             }
@@ -297,7 +297,7 @@
             Step::ReplicaSet(replicas) => {
                 let command = HollowCommand::Replicas { replicas: self.known(*replicas) };
                 for process in 0..self.shares().len() {
-                    self.processes.tell_hollow(process, &command).await?;
+                    self.children.tell_hollow(process, &command).await?;
                 }
                 Ok(())
             }
@@ -306,14 +306,14 @@
 
     async fn answer(&mut self, replicas: &[u32], answering: Answering) -> Result<(), RunError> {
         for &replica in replicas {
-            self.processes.tell_replica(replica as usize, &ReplicaCommand::Answer { answering }).await?;
+            self.children.tell_replica(replica as usize, &ReplicaCommand::Answer { answering }).await?;
         }
         Ok(())
     }
 
     async fn tell(&mut self, told: Vec<Told>) -> Result<(), RunError> {
         for (replica, command) in told {
-            self.processes.tell_replica(replica, &command).await?;
+            self.children.tell_replica(replica, &command).await?;
         }
         Ok(())
     }
@@ -345,7 +345,7 @@
             }
             let due = self.replicas.next_due().map_or(until, |due| due.min(until)).min(next_tell);
             tokio::select! {
-                heard = self.processes.heard() => self.take_in(heard?),
+                heard = self.children.heard() => self.take_in(heard?),
                 () = sleep_until(due) => {}
             }
         }
@@ -367,7 +367,7 @@
 
     async fn ask_hollow(&mut self) -> Result<(), RunError> {
         for process in 0..self.shares().len() {
-            self.processes.tell_hollow(process, &HollowCommand::Report).await?;
+            self.children.tell_hollow(process, &HollowCommand::Report).await?;
             self.hollow_awaited += 1;
         }
         Ok(())
@@ -383,7 +383,7 @@
         let until = Instant::now() + patience;
         while !done(self) {
             let left = until.saturating_duration_since(Instant::now());
-            match timeout(left, self.processes.heard()).await {
+            match timeout(left, self.children.heard()).await {
                 Ok(heard) => self.take_in(heard?),
                 Err(_) => return Err(ChildError::Silent { who, waited: patience }.into()),
             }
@@ -418,14 +418,14 @@
     /// Has all processes report, and reads what they cost.
     async fn snapshot(&mut self) -> Result<Snapshot, RunError> {
         let at = std::time::Instant::now();
-        let hollow = cost(&self.processes.ids(|who| matches!(who, Who::Hollow(_))))?;
-        let replicas = cost(&self.processes.ids(|who| matches!(who, Who::Replica(_))))?;
+        let hollow = cost(&self.children.ids(|who| matches!(who, Who::Hollow(_))))?;
+        let replicas = cost(&self.children.ids(|who| matches!(who, Who::Replica(_))))?;
         let run = cost(&[std::process::id()])?;
         self.hear_until(REPORTS, Who::Hollow(0), |run| run.hollow_awaited == 0).await?;
         self.ask_hollow().await?;
         for number in 0..self.reports.len() {
             self.reports[number] = None;
-            self.processes.tell_replica(number, &ReplicaCommand::Report).await?;
+            self.children.tell_replica(number, &ReplicaCommand::Report).await?;
         }
         for number in 0..self.reports.len() {
             self.hear_until(REPORTS, Who::Replica(number), |run| run.reports[number].is_some()).await?;
