--- a/crates/node/src/scale.rs
+++ b/crates/node/src/scale.rs
@@ -4,7 +4,7 @@
 use clap::{Args, Subcommand, ValueEnum};
 use rig::scale::fit::{self, Fit};
 use rig::scale::run::{self, Phase, Progress};
-use rig::scale::script::{HOLLOW_PROCESSES, NODES, REPLICAS, SERVERS};
+use rig::scale::script::{HOLLOW_PROCESSES, NODES, REAL_NODES, REPLICAS, SERVERS};
 use rig::scale::{plot, scenarios, ScaleReport, ScaleScript};
 use std::io::{IsTerminal, Write};
 use std::ops::RangeInclusive;
@@ -43,6 +43,9 @@
     /// Processes that share the hollow nodes, rather than the script's own number
     #[arg(long, value_parser = within(&HOLLOW_PROCESSES))]
     processes: Option<u32>,
+    /// Real nodes under load beside the hollow ones, rather than the script's own number
+    #[arg(long, value_parser = within(&REAL_NODES))]
+    real: Option<u32>,
     /// Draws everything anew from this seed, rather than from the script's own
     #[arg(long)]
     seed: Option<u64>,
@@ -134,6 +137,7 @@
     script.servers = arguments.servers.unwrap_or(script.servers);
     script.replicas = arguments.replicas.unwrap_or(script.replicas);
     script.hollow_processes = arguments.processes.unwrap_or(script.hollow_processes);
+    script.real.nodes = arguments.real.unwrap_or(script.real.nodes);
     script.seed = arguments.seed.unwrap_or(script.seed);
     script.mechanism = arguments.mechanism.map_or(script.mechanism, |mechanism| mechanism == Mechanism::On);
     eprintln!("{}: {}", script.name, script.about);
--- /dev/null
+++ b/crates/rig/src/scale/beside.rs
@@ -0,0 +1,139 @@
+//! The real nodes of a run: what happens is passed on to them and to the servers that they use.
+
+use super::events::servers_at_start;
+use super::measure::Cost;
+use super::messages::{Answering, ListedServer};
+use super::real::{classes, CacheServers, RealError, RealNodes, RealReport, RealSettings, ServerSettings};
+use super::report::RealFigures;
+use super::script::ScaleScript;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+/// Whoever stands beside the hollow nodes: nobody, or real nodes and the servers that they use.
+#[derive(Debug)]
+pub struct Beside {
+    servers: Option<CacheServers>,
+    nodes: Option<RealNodes>,
+    /// How each replica answers.
+    answering: Vec<Answering>,
+    known: usize,
+    /// In microseconds of Unix time.
+    away_since_us: Option<u64>,
+}
+
+impl Beside {
+    /// Starts the servers, if the script has real nodes.
+    ///
+    /// # Errors
+    /// When they don't start.
+    pub async fn start_servers(script: &ScaleScript) -> Result<Self, RealError> {
+        let mut servers = None;
+        if script.real.nodes > 0 {
+            let settings = ServerSettings { count: script.servers, zones: zones(script) };
+            servers = Some(CacheServers::start(settings).await?);
+        }
+        let answering = vec![Answering::Up; script.running_replicas() as usize];
+        let known = script.known_replicas() as usize;
+        Ok(Self { servers, nodes: None, answering, known, away_since_us: None })
+    }
+
+    /// The list at the start.
+    pub fn servers(&self, script: &ScaleScript) -> Vec<ListedServer> {
+        self.servers.as_ref().map_or_else(|| servers_at_start(script), CacheServers::servers)
+    }
+
+    /// Starts the real nodes, if the script has any, and waits until they are ready.
+    ///
+    /// # Errors
+    /// When one doesn't come up.
+    pub async fn start_nodes(
+        &mut self,
+        script: &ScaleScript,
+        program: &Path,
+        replicas: Vec<SocketAddr>,
+    ) -> Result<(), RealError> {
+        let Some(servers) = &self.servers else { return Ok(()) };
+        let settings = RealSettings {
+            program: program.to_owned(),
+            count: script.real.nodes,
+            fleet: script.nodes + script.real.nodes,
+            zones: zones(script),
+            replicas,
+            capacity: script.mechanism.then_some(script.capacity),
+            rate: script.real.rate,
+            classes: classes(),
+            seed: script.seed,
+        };
+        self.nodes = Some(RealNodes::start(servers, settings).await?);
+        Ok(())
+    }
+
+    /// Discovery has a new entry.
+    ///
+    /// # Errors
+    /// When it is of no server that was started here.
+    pub fn changed(&self, server: &ListedServer, at_us: u64) -> Result<(), RealError> {
+        self.nodes.as_ref().map_or(Ok(()), |nodes| nodes.notify(server, at_us))
+    }
+
+    /// Replicas answer like this from now on. While none that nodes know does, discovery is away.
+    pub fn answers(&mut self, replicas: &[u32], answering: Answering, at_us: u64) {
+        for &replica in replicas {
+            if let Some(of_replica) = self.answering.get_mut(replica as usize) {
+                *of_replica = answering;
+            }
+        }
+        let away = self.answering.iter().take(self.known).all(|answering| *answering != Answering::Up);
+        match self.away_since_us {
+            None if away => self.away_since_us = Some(at_us),
+            Some(_) if !away => self.back(at_us),
+            _ => {}
+        }
+    }
+
+    fn back(&mut self, at_us: u64) {
+        let since = self.away_since_us.take();
+        if let (Some(nodes), Some(since)) = (&self.nodes, since) {
+            nodes.discovery_away(since, at_us);
+        }
+    }
+
+    /// What all real nodes have cost since their start.
+    pub fn cost(&self) -> Cost {
+        let usage = self.nodes.as_ref().map(RealNodes::usage).unwrap_or_default();
+        let cost = |of_node: &super::real::NodeUsage| Cost {
+            processor: Duration::from_micros(of_node.processor_us),
+            resident_bytes: of_node.rss_anon,
+        };
+        usage.iter().map(cost).sum()
+    }
+
+    /// Ends the real nodes and judges what they did.
+    pub async fn finish(mut self, at_us: u64) -> Option<RealFigures> {
+        self.back(at_us);
+        let nodes = self.nodes.take()?;
+        Some(figures(nodes.finish().await))
+    }
+}
+
+fn zones(script: &ScaleScript) -> Vec<String> {
+    (0..script.zones).map(|zone| script.zone_name(zone)).collect()
+}
+
+fn figures(report: RealReport) -> RealFigures {
+    let broken = report.rules_broken;
+    RealFigures {
+        nodes: report.nodes.len() as u32,
+        requests: report.requests,
+        served: report.served,
+        refused: report.refused,
+        failed: report.failed,
+        unanswered: report.unanswered,
+        held_back: report.held_back,
+        p50_us: report.latency.p50_us,
+        p99_us: report.latency.p99_us,
+        rules_broken: [broken.lost, broken.repeated_effect, broken.after_drain, broken.cold_server_fell],
+        breaches: report.breaches.iter().map(|breach| breach.what.clone()).collect(),
+    }
+}
--- a/crates/rig/src/scale/events.rs
+++ b/crates/rig/src/scale/events.rs
@@ -67,19 +67,18 @@
     ReplicaSet(u32),
 }
 
-/// The list at the start: all servers ready, for a long time.
+/// A list for runs in which nobody sends anything to servers: all of them ready, for a long time.
 pub fn servers_at_start(script: &ScaleScript) -> Vec<ListedServer> {
-    (0..script.servers).map(|seat| server(script, seat, 0)).collect()
+    (0..script.servers).map(|seat| server_at_start(script, seat)).collect()
 }
 
-/// The server in a seat, after so many replacements.
-fn server(script: &ScaleScript, seat: u32, generation: u16) -> ListedServer {
+fn server_at_start(script: &ScaleScript, seat: u32) -> ListedServer {
     let address = Ipv4Addr::new(127, 1, (seat / 250) as u8, 1 + (seat % 250) as u8);
     ListedServer {
-        host: format!("s-{seat:04}-{generation}"),
-        dial: SocketAddr::from((address, SERVER_PORT.saturating_add(generation))),
+        host: format!("server-{seat}"),
+        dial: SocketAddr::from((address, SERVER_PORT)),
         site: script.zone_name(seat % script.zones),
-        class: "m1".into(),
+        class: "standard".into(),
         block: u64::from(seat / SERVERS_A_CELL),
         health: "ready".into(),
         share: 1.0,
@@ -87,9 +86,17 @@
     }
 }
 
-/// All steps of a script's events, in the order of time.
-pub fn plan(script: &ScaleScript) -> Vec<Planned> {
-    let mut planner = Planner::new(script);
+/// The server in a seat, after so many replacements: each has a name of its own, and listens where the first one did.
+fn successor(first: &ListedServer, generation: u32) -> ListedServer {
+    match generation {
+        0 => first.clone(),
+        _ => ListedServer { host: format!("{}-{generation}", first.host), ..first.clone() },
+    }
+}
+
+/// All steps of a script's events, in the order of time. `servers` are on the list at the start, one for each seat.
+pub fn plan(script: &ScaleScript, servers: &[ListedServer]) -> Vec<Planned> {
+    let mut planner = Planner::new(script, servers);
     // A zone takes all that is in it; the others draw among what is left.
     let (zones, others): (Vec<_>, Vec<_>) =
         script.events.iter().enumerate().partition(|(_, event)| matches!(event.what, EventKind::Zone { .. }));
@@ -147,6 +154,7 @@
 
 struct Planner<'a> {
     script: &'a ScaleScript,
+    at_start: &'a [ListedServer],
     nodes: Occupied,
     servers: Occupied,
     /// Which server is in a seat is known once all of them are drawn.
@@ -155,11 +163,12 @@
 }
 
 impl<'a> Planner<'a> {
-    fn new(script: &'a ScaleScript) -> Self {
+    fn new(script: &'a ScaleScript, at_start: &'a [ListedServer]) -> Self {
         Self {
             script,
+            at_start,
             nodes: Occupied::new(script.nodes),
-            servers: Occupied::new(script.servers),
+            servers: Occupied::new(at_start.len() as u32),
             server_jobs: Vec::new(),
             planned: Vec::new(),
         }
@@ -231,7 +240,7 @@
     }
 
     fn restarts(&mut self, event: &Event, per_day: f64, down: Duration, draw: Draw) {
-        let machines = u64::from(self.script.nodes + self.script.servers);
+        let machines = u64::from(self.script.nodes) + self.at_start.len() as u64;
         for (number, at) in times(event, per_day, down, draw).into_iter().enumerate() {
             let draw = draw.on(1).on(number as u64);
             let back = at + down;
@@ -252,7 +261,7 @@
         let in_zone = |number: &u32| number % self.script.zones == zone;
         let nodes: Vec<_> = (0..self.script.nodes).filter(in_zone).collect();
         let nodes: Vec<_> = nodes.into_iter().filter(|&node| self.nodes.take(node, from, to)).collect();
-        let seats: Vec<_> = (0..self.script.servers).filter(in_zone).collect();
+        let seats: Vec<_> = (0..self.at_start.len() as u32).filter(in_zone).collect();
         for seat in seats {
             if self.servers.take(seat, from, to) {
                 let kind = ServerJobKind::Restart { back: to };
@@ -269,14 +278,15 @@
     fn carry_out_servers(&mut self) {
         let mut jobs = std::mem::take(&mut self.server_jobs);
         jobs.sort_by_key(|job| job.at);
-        let mut generations = vec![0_u16; self.script.servers as usize];
+        let mut generations = vec![0_u32; self.at_start.len()];
         for ServerJob { seat, at, kind } in jobs {
+            let first = &self.at_start[seat as usize];
             let generation = &mut generations[seat as usize];
-            let present = server(self.script, seat, *generation);
+            let present = successor(first, *generation);
             match kind {
                 ServerJobKind::Replace { step } => {
-                    *generation = generation.saturating_add(1);
-                    let successor = server(self.script, seat, *generation);
+                    *generation += 1;
+                    let successor = successor(first, *generation);
                     self.change(at, with_health(&present, "draining"));
                     self.change(at + step, with_health(&present, "gone"));
                     self.server_starts(at + step * 2, successor);
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -7,11 +7,12 @@
 //! - [`ScaleScript`] is read from TOML; [`scenarios`] has those that ship. [`events`] draws its steps.
 //! - [`needs`] compares what a run takes with what the machine has, before anything starts.
 //! - [`run`](run::run) starts the [`children`], carries the steps out and [measures](measure);
-//!   [`replica_set`] knows what each replica is told, and [`real`] has the real nodes.
+//!   [`replica_set`] knows what each replica is told, and [`beside`] passes on to [`real`] nodes what happens.
 //! - [`acts`] knows when which node acted on what; [`report`] shows it, and [`plot`] draws it.
 //! - [`fit`] lays lines through the figures of several sizes.
 
 pub mod acts;
+pub mod beside;
 pub mod children;
 pub mod events;
 pub mod fit;
--- a/crates/rig/src/scale/needs.rs
+++ b/crates/rig/src/scale/needs.rs
@@ -15,6 +15,10 @@
 const CONNECTIONS_A_NODE: u64 = 2;
 /// Pipes between the run and each process that it starts.
 const PIPES_A_PROCESS: u64 = 3;
+/// The run's own descriptors beside servers for real nodes: for clients, and to spare.
+const BESIDE_SERVERS: u64 = 2_000;
+/// Connections that such servers take at the most.
+const MOST_SERVER_CONNECTIONS: u64 = 12_000;
 
 /// Resident memory of any process of the run before it holds a node.
 const PROCESS_BYTES: u64 = 16 << 20;
@@ -89,7 +93,9 @@
         let hollow_descriptors = nodes.div_ceil(hollow) * CONNECTIONS_A_NODE;
         // All nodes may end at one replica, when the others are away.
         let replica_descriptors = nodes + real;
-        let run_descriptors = processes * PIPES_A_PROCESS;
+        let connections = (real * servers).min(MOST_SERVER_CONNECTIONS);
+        let for_real = if real > 0 { BESIDE_SERVERS + servers + connections } else { 0 };
+        let run_descriptors = processes * PIPES_A_PROCESS + for_real;
         let descriptors = hollow_descriptors.max(replica_descriptors).max(run_descriptors) + OWN_DESCRIPTORS;
         let memory_bytes = processes * PROCESS_BYTES
             + nodes * (NODE_BYTES + servers * LISTED_BYTES)
--- a/crates/rig/src/scale/report.rs
+++ b/crates/rig/src/scale/report.rs
@@ -22,6 +22,8 @@
     pub seed: u64,
     /// Hollow nodes.
     pub nodes: u32,
+    /// Real nodes beside them.
+    pub real_nodes: u32,
     /// Servers on the list at the start.
     pub servers: u32,
     /// Processes that shared the hollow nodes.
@@ -67,14 +69,18 @@
     pub hollow_processor_s: f64,
     /// Of all replicas.
     pub replicas_processor_s: f64,
-    /// Of the run itself.
+    /// Of the run itself, with servers and clients for real nodes.
     pub run_processor_s: f64,
+    /// Of all real nodes, at work for their clients.
+    pub real_processor_s: f64,
     /// `RssAnon` of all processes of hollow nodes at its end, in bytes.
     pub hollow_resident_bytes: u64,
     /// Of all replicas.
     pub replicas_resident_bytes: u64,
     /// Of the run itself.
     pub run_resident_bytes: u64,
+    /// Of all real nodes.
+    pub real_resident_bytes: u64,
     /// Calls of nodes.
     pub calls: u64,
     /// Calls that were refused.
@@ -104,7 +110,7 @@
 }
 
 /// What the real nodes came to, by the judge of the four rules.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RealFigures {
     /// Processes.
     pub nodes: u32,
@@ -116,26 +122,40 @@
     pub refused: u64,
     /// Answered otherwise.
     pub failed: u64,
+    /// Not answered.
+    pub unanswered: u64,
+    /// Not made, since too many were out at their node or it was not there.
+    pub held_back: u64,
+    /// Half of those served took no longer than this, in microseconds.
+    pub p50_us: u32,
+    /// And 99 of 100.
+    pub p99_us: u32,
     /// How often rules 1 to 4 were broken.
     pub rules_broken: [u64; 4],
+    /// The first times that one was, in words.
+    pub breaches: Vec<String>,
 }
 
 impl WindowFigures {
-    /// Of a time with so many nodes and servers.
-    pub fn new(window: &Window, nodes: u32, servers: u32) -> Self {
-        let nodes = f64::from(nodes);
-        let node_seconds = nodes * window.seconds.max(f64::MIN_POSITIVE);
+    /// Of a time with so many hollow and real nodes, and servers.
+    pub fn new(window: &Window, nodes: u32, real_nodes: u32, servers: u32) -> Self {
+        let seconds = window.seconds.max(f64::MIN_POSITIVE);
+        let node_seconds = f64::from(nodes) * seconds;
+        // Replicas don't tell calls of hollow nodes from those of real ones.
+        let caller_seconds = f64::from(nodes + real_nodes) * seconds;
         let calls = &window.calls;
         let hollow_processor_s = window.hollow.processor.as_secs_f64();
-        let node_resident_bytes = window.hollow.resident_bytes as f64 / nodes;
+        let node_resident_bytes = window.hollow.resident_bytes as f64 / f64::from(nodes);
         Self {
             seconds: window.seconds,
             hollow_processor_s,
             replicas_processor_s: window.replicas.processor.as_secs_f64(),
             run_processor_s: window.run.processor.as_secs_f64(),
+            real_processor_s: window.real.processor.as_secs_f64(),
             hollow_resident_bytes: window.hollow.resident_bytes,
             replicas_resident_bytes: window.replicas.resident_bytes,
             run_resident_bytes: window.run.resident_bytes,
+            real_resident_bytes: window.real.resident_bytes,
             calls: calls.calls,
             refused: calls.refused,
             failed_calls: window.failed_calls,
@@ -146,9 +166,9 @@
             node_processor_us_per_s: hollow_processor_s * 1e6 / node_seconds,
             node_resident_bytes,
             node_server_resident_bytes: node_resident_bytes / f64::from(servers),
-            node_bytes_out_per_s: calls.bytes_in as f64 / node_seconds,
-            node_bytes_in_per_s: calls.bytes_out as f64 / node_seconds,
-            node_messages_per_s: 2.0 * calls.calls as f64 / node_seconds,
+            node_bytes_out_per_s: calls.bytes_in as f64 / caller_seconds,
+            node_bytes_in_per_s: calls.bytes_out as f64 / caller_seconds,
+            node_messages_per_s: 2.0 * calls.calls as f64 / caller_seconds,
         }
     }
 }
@@ -157,7 +177,7 @@
     /// Whether every node that lived acted on every change, every node that was started got a list, nothing came later
     /// than the script expects, and the real nodes broke no rule.
     pub fn held(&self) -> bool {
-        let rules_held = self.real.is_none_or(|real| real.rules_broken == [0; 4]);
+        let rules_held = self.real.as_ref().is_none_or(|real| real.rules_broken == [0; 4]);
         self.acts.never == 0 && self.acts.late == 0 && self.ready.never == 0 && rules_held
     }
 
@@ -186,8 +206,14 @@
     pub fn text(&self) -> String {
         let known = if self.mechanism { "all replicas" } else { "one address only" };
         let mut text = format!(
-            "{} (seed {}): {} hollow nodes in {} processes, {} servers, {} replicas, nodes know {known}\n",
-            self.name, self.seed, self.nodes, self.hollow_processes, self.servers, self.replicas
+            "{} (seed {}): {} hollow nodes in {} processes, {} real ones, {} servers, {} replicas, nodes know {known}\n",
+            self.name,
+            self.seed,
+            self.nodes,
+            self.hollow_processes,
+            self.real_nodes,
+            self.servers,
+            self.replicas
         );
         let _ = writeln!(text, "{}", self.windows_table());
         let _ = writeln!(text, "{}", self.events_table());
@@ -200,8 +226,11 @@
         if self.ready.never > 0 {
             let _ = writeln!(text, "MISSED: {} nodes that were started never held a list", self.ready.never);
         }
-        if let Some(real) = self.real.filter(|real| real.rules_broken != [0; 4]) {
+        if let Some(real) = self.real.as_ref().filter(|real| real.rules_broken != [0; 4]) {
             let _ = writeln!(text, "MISSED: rules 1 to 4 broken {:?} times by real nodes", real.rules_broken);
+            for breach in &real.breaches {
+                let _ = writeln!(text, "  {breach}");
+            }
         }
         text
     }
@@ -227,16 +256,16 @@
         row("all replicas: calls, refused", &|window| format!("{}, {}", window.calls, window.refused));
         row("  lines, whole lists", &|window| format!("{:.0}, {}", window.lines, window.whole_lists));
         row("calls failed, by the nodes", &|window| window.failed_calls.to_string());
-        row("processor, s: hollow, replicas, run", &|window| {
-            let [hollow, replicas, run] =
-                [window.hollow_processor_s, window.replicas_processor_s, window.run_processor_s];
-            format!("{hollow:.2}, {replicas:.2}, {run:.2}")
+        row("processor, s: hollow, real, replicas, run", &|window| {
+            let [hollow, real] = [window.hollow_processor_s, window.real_processor_s];
+            let [replicas, run] = [window.replicas_processor_s, window.run_processor_s];
+            format!("{hollow:.2}, {real:.2}, {replicas:.2}, {run:.2}")
         });
-        row("resident, MiB: hollow, replicas, run", &|window| {
-            let bytes =
-                [window.hollow_resident_bytes, window.replicas_resident_bytes, window.run_resident_bytes];
-            let [hollow, replicas, run] = bytes.map(|bytes| bytes as f64 / f64::from(1 << 20));
-            format!("{hollow:.1}, {replicas:.1}, {run:.1}")
+        row("resident, MiB: hollow, real, replicas, run", &|window| {
+            let mib = |bytes: u64| bytes as f64 / f64::from(1 << 20);
+            let [hollow, real] = [window.hollow_resident_bytes, window.real_resident_bytes].map(mib);
+            let [replicas, run] = [window.replicas_resident_bytes, window.run_resident_bytes].map(mib);
+            format!("{hollow:.1}, {real:.1}, {replicas:.1}, {run:.1}")
         });
         table
     }
@@ -273,11 +302,13 @@
         let queue = self.replica_loads.iter().map(|load| load.longest_queue_ms).max().unwrap_or_default();
         row("longest wait of a call for its turn, ms", queue.to_string());
         row("steps carried out late by at most, ms", format!("{:.0}", self.most_late_ms));
-        if let Some(real) = self.real {
+        if let Some(real) = &self.real {
             row("real nodes", real.nodes.to_string());
-            let answers = [real.requests, real.served, real.refused, real.failed];
-            row("  requests, served, refused, failed", answers.map(|count| count.to_string()).join(", "));
-            row("  rules broken, 1 to 4", real.rules_broken.map(|count| count.to_string()).join(", "));
+            let answers = [real.requests, real.served, real.refused, real.failed, real.unanswered];
+            row("  requests, served, refused, failed, unanswered", joined(&answers));
+            row("  requests not made", real.held_back.to_string());
+            row("  answered in us: p50, p99", format!("{}, {}", real.p50_us, real.p99_us));
+            row("  rules broken, 1 to 4", joined(&real.rules_broken));
         }
         table
     }
@@ -299,6 +330,11 @@
     format!("{:.1}, {:.1}, {:.1}", times.p50_ms, times.p99_ms, times.last_ms)
 }
 
+fn joined(counts: &[u64]) -> String {
+    let counts: Vec<_> = counts.iter().map(ToString::to_string).collect();
+    counts.join(", ")
+}
+
 /// The largest over the mean; 0 where there is nothing.
 pub fn largest_over_mean(values: impl Iterator<Item = f64>) -> f64 {
     let (count, sum, largest) = values.fold((0.0, 0.0, 0.0_f64), |(count, sum, largest), value| {
--- a/crates/rig/src/scale/run.rs
+++ b/crates/rig/src/scale/run.rs
@@ -1,11 +1,15 @@
 //! One scale run: starts the processes, carries the steps out at their times, and takes the measurements.
 
 use super::acts::Acts;
+use super::beside::Beside;
 use super::children::{ChildError, Children, Heard, Who};
-use super::events::{plan, servers_at_start, Planned, Step};
+use super::events::{plan, Planned, Step};
 use super::measure::{cost_of, Cost};
-use super::messages::{Answering, HollowCommand, HollowEvent, ReplicaCommand, ReplicaEvent, ReplicaReport};
+use super::messages::{
+    HollowCommand, HollowEvent, ListedServer, ReplicaCommand, ReplicaEvent, ReplicaReport,
+};
 use super::needs::{Limits, LimitsError, NeedFault, Needs};
+use super::real::RealError;
 use super::replica_set::{ReplicaSet, Told};
 use super::report::{largest_over_mean, ScaleReport, WindowFigures, VERSION};
 use super::script::ScaleScript;
@@ -45,6 +49,9 @@
     /// A process failed.
     #[error(transparent)]
     Child(#[from] ChildError),
+    /// A real node, or what it uses, failed.
+    #[error("real nodes: {0}")]
+    Real(#[from] RealError),
     /// What a process costs could not be read.
     #[error("what process {process} costs can't be read: {source}")]
     Cost {
@@ -119,9 +126,11 @@
     program: &Path,
     progress: impl FnMut(&Progress),
 ) -> Result<ScaleReport, RunError> {
-    let steps = plan(script);
-    let mut run = Run::new(script, progress);
-    run.start(program).await?;
+    let beside = Beside::start_servers(script).await?;
+    let servers = beside.servers(script);
+    let steps = plan(script, &servers);
+    let mut run = Run::new(script, &servers, beside, progress);
+    run.start(program, &servers).await?;
     run.phase(Phase::Settling, script.settle);
     run.wait_until(Instant::now() + script.settle).await?;
     run.phase(Phase::Measuring, script.length);
@@ -143,13 +152,15 @@
     }
     let last = run.snapshot().await?;
     let report = run.report(&first, &rest, &last, (!steps.is_empty()).then_some(events_from_us));
+    let real = run.beside.finish(unix_us()).await;
     run.children.stop().await;
-    Ok(report)
+    Ok(ScaleReport { real, ..report })
 }
 
 struct Run<'a, P> {
     script: &'a ScaleScript,
     children: Children,
+    beside: Beside,
     replicas: ReplicaSet,
     addresses: Vec<SocketAddr>,
     acts: Acts,
@@ -168,12 +179,13 @@
 }
 
 impl<'a, P: FnMut(&Progress)> Run<'a, P> {
-    fn new(script: &'a ScaleScript, progress: P) -> Self {
+    fn new(script: &'a ScaleScript, servers: &[ListedServer], beside: Beside, progress: P) -> Self {
         let replicas = script.running_replicas();
         Self {
             script,
             children: Children::default(),
-            replicas: ReplicaSet::new(replicas, FIRST_VERSION, &servers_at_start(script)),
+            beside,
+            replicas: ReplicaSet::new(replicas, FIRST_VERSION, servers),
             addresses: Vec::new(),
             acts: Acts::new(script.nodes, unix_us(), FIRST_VERSION),
             reports: vec![None; replicas as usize],
@@ -193,21 +205,22 @@
         (self.phase, self.phase_began, self.phase_length) = (phase, Instant::now(), length);
     }
 
-    /// Starts replicas, then hollow nodes.
-    async fn start(&mut self, program: &Path) -> Result<(), RunError> {
-        let servers = servers_at_start(self.script);
+    /// Starts replicas, then real nodes, then hollow ones.
+    async fn start(&mut self, program: &Path, servers: &[ListedServer]) -> Result<(), RunError> {
         for number in 0..self.reports.len() {
             self.children.start(program, Who::Replica(number))?;
             let command = ReplicaCommand::Start {
                 listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
                 capacity: self.script.capacity,
                 version: FIRST_VERSION,
-                servers: servers.clone(),
+                servers: servers.to_vec(),
             };
             self.children.tell_replica(number, &command).await?;
             // In their order, so that addresses are by number.
             self.hear_until(STARTS, Who::Replica(number), |run| run.addresses.len() > number).await?;
         }
+        let known = self.known(self.script.known_replicas());
+        self.beside.start_nodes(self.script, program, known.clone()).await?;
         let mut first = 0;
         for (number, count) in self.shares().into_iter().enumerate() {
             self.children.start(program, Who::Hollow(number))?;
@@ -215,10 +228,10 @@
                 first,
                 count,
                 fleet: self.script.nodes,
-                replicas: self.known(self.script.known_replicas()),
+                replicas: known.clone(),
                 capacity: self.script.mechanism.then_some(self.script.capacity),
                 version: Some(FIRST_VERSION),
-                servers: servers.clone(),
+                servers: servers.to_vec(),
                 seed: self.script.seed,
                 zones: (0..self.script.zones).map(|zone| self.script.zone_name(zone)).collect(),
             };
@@ -263,6 +276,7 @@
                 if *starts {
                     server.born_ms = now_us / 1_000;
                 }
+                self.beside.changed(&server, now_us)?;
                 let told = self.replicas.change(server, Instant::now());
                 self.acts.changed(self.replicas.version(), now_us);
                 self.tell(told).await
@@ -281,7 +295,14 @@
                 }
                 Ok(())
             }
-            Step::Answer { replicas, answering } => self.answer(replicas, *answering).await,
+            Step::Answer { replicas, answering } => {
+                self.beside.answers(replicas, *answering, unix_us());
+                for &replica in replicas {
+                    let command = ReplicaCommand::Answer { answering: *answering };
+                    self.children.tell_replica(replica as usize, &command).await?;
+                }
+                Ok(())
+            }
             Step::Lag { replica, by } => {
                 let told = self.replicas.lag(*replica as usize, *by);
                 self.tell(told).await
@@ -304,13 +325,6 @@
         }
     }
 
-    async fn answer(&mut self, replicas: &[u32], answering: Answering) -> Result<(), RunError> {
-        for &replica in replicas {
-            self.children.tell_replica(replica as usize, &ReplicaCommand::Answer { answering }).await?;
-        }
-        Ok(())
-    }
-
     async fn tell(&mut self, told: Vec<Told>) -> Result<(), RunError> {
         for (replica, command) in told {
             self.children.tell_replica(replica, &command).await?;
@@ -421,6 +435,7 @@
         let hollow = cost(&self.children.ids(|who| matches!(who, Who::Hollow(_))))?;
         let replicas = cost(&self.children.ids(|who| matches!(who, Who::Replica(_))))?;
         let run = cost(&[std::process::id()])?;
+        let real = self.beside.cost();
         self.hear_until(REPORTS, Who::Hollow(0), |run| run.hollow_awaited == 0).await?;
         self.ask_hollow().await?;
         for number in 0..self.reports.len() {
@@ -434,7 +449,7 @@
         // From the first snapshot on, nodes are polled.
         self.next_poll.get_or_insert(Instant::now() + POLL);
         let reports = self.reports.iter().map(|report| report.unwrap_or_default()).collect();
-        Ok(Snapshot { at, hollow, replicas, run, reports, failed_calls: self.failed_calls })
+        Ok(Snapshot { at, hollow, replicas, run, real, reports, failed_calls: self.failed_calls })
     }
 
     fn report(
@@ -445,7 +460,8 @@
         events_from_us: Option<u64>,
     ) -> ScaleReport {
         let script = self.script;
-        let figures = |window: &Window| WindowFigures::new(window, script.nodes, script.servers);
+        let figures =
+            |window: &Window| WindowFigures::new(window, script.nodes, script.real.nodes, script.servers);
         let at_rest = figures(&rest.since(first));
         let active = events_from_us.map(|_| figures(&last.since(rest)));
         let above_rest_us = active.map_or(0.0, |active| {
@@ -460,6 +476,7 @@
             name: script.name.clone(),
             seed: script.seed,
             nodes: script.nodes,
+            real_nodes: script.real.nodes,
             servers: script.servers,
             hollow_processes: self.shares().len() as u32,
             replicas: script.running_replicas(),
--- a/crates/rig/src/scale/script.rs
+++ b/crates/rig/src/scale/script.rs
@@ -213,7 +213,7 @@
         replicas,
         mechanism: top.flag("mechanism").unwrap_or(true),
         capacity: top.need("capacity", top.table("capacity", |table| Some(capacity(table)))).unwrap_or(NONE),
-        real: top.table("real", real).unwrap_or(RealLoad { nodes: 0, rate: 0.0 }),
+        real: top.table("real", real).unwrap_or(RealLoad { nodes: 0, rate: 50.0 }),
         events: events(top, length, zones, replicas),
     }
 }
--- a/crates/rig/src/scale/snapshot.rs
+++ b/crates/rig/src/scale/snapshot.rs
@@ -15,6 +15,8 @@
     pub replicas: Cost,
     /// The run itself.
     pub run: Cost,
+    /// All real nodes.
+    pub real: Cost,
     /// What each replica has done.
     pub reports: Vec<ReplicaReport>,
     /// Calls of hollow nodes that failed.
@@ -32,6 +34,8 @@
     pub replicas: Cost,
     /// The run itself.
     pub run: Cost,
+    /// All real nodes.
+    pub real: Cost,
     /// What all replicas did together.
     pub calls: ReplicaReport,
     /// Calls of hollow nodes that failed.
@@ -46,6 +50,7 @@
             hollow: spent(&self.hollow, &earlier.hollow),
             replicas: spent(&self.replicas, &earlier.replicas),
             run: spent(&self.run, &earlier.run),
+            real: spent(&self.real, &earlier.real),
             calls: self.loads_since(earlier).into_iter().fold(ReplicaReport::default(), sum),
             failed_calls: self.failed_calls.saturating_sub(earlier.failed_calls),
         }
--- a/crates/rig/tests/scale_events.rs
+++ b/crates/rig/tests/scale_events.rs
@@ -1,6 +1,6 @@
 //! The steps that a script's events are drawn to.
 
-use rig::scale::events::{plan, servers_at_start, Planned, Step};
+use rig::scale::events::{servers_at_start, Planned, Step};
 use rig::scale::messages::Answering;
 use rig::scale::script::{Event, EventKind};
 use rig::scale::{scenarios, ScaleScript};
@@ -17,6 +17,10 @@
     ScaleScript { events: vec![event], ..shipped("quiet") }
 }
 
+fn plan(script: &ScaleScript) -> Vec<Planned> {
+    rig::scale::events::plan(script, &servers_at_start(script))
+}
+
 fn changes(steps: &[Planned]) -> usize {
     steps.iter().filter(|planned| matches!(planned.step, Step::Change { .. })).count()
 }
@@ -70,10 +74,13 @@
         }
         entries.insert(server.host.clone(), server);
     }
-    let dials: BTreeSet<_> = entries.values().map(|server| server.dial).collect();
-    assert_eq!(dials.len(), entries.len());
-    let ready = entries.values().filter(|server| server.health == "ready").count();
-    assert_eq!(ready, script.servers as usize);
+    let ready: Vec<_> = entries.values().filter(|server| server.health == "ready").collect();
+    assert_eq!(ready.len(), script.servers as usize);
+    // Each listens where the one before it did, and nowhere are two at once.
+    let dials: BTreeSet<_> = ready.iter().map(|server| server.dial).collect();
+    assert_eq!(dials.len(), ready.len());
+    let first: BTreeSet<_> = servers_at_start(&script).iter().map(|server| server.dial).collect();
+    assert_eq!(dials, first);
 }
 
 #[test]
--- a/crates/rig/tests/scale_fit.rs
+++ b/crates/rig/tests/scale_fit.rs
@@ -21,6 +21,7 @@
         name: "quiet".into(),
         seed: 1,
         nodes,
+        real_nodes: 0,
         servers,
         hollow_processes: 4,
         replicas: 16,
