--- a/crates/rig/src/scale/acts.rs
+++ b/crates/rig/src/scale/acts.rs
@@ -155,11 +155,10 @@
         self.changes.len()
     }
 
-    /// How many nodes that live do not hold the newest list.
-    pub fn behind(&self) -> usize {
-        let newest = self.changes.last().map_or(0, |change| change.version);
+    /// How many nodes that live do not hold this version of the list, or a later one.
+    pub fn behind(&self, version: u64) -> usize {
         let lives = |node: &&Node| node.lives.last().is_some_and(|life| life.to_us.is_none());
-        self.nodes.iter().filter(lives).filter(|node| node.holds.is_none_or(|holds| holds < newest)).count()
+        self.nodes.iter().filter(lives).filter(|node| node.holds.is_none_or(|holds| holds < version)).count()
     }
 
     /// How many lists were taken from a time on: changes, and whole ones.
