--- a/crates/node/src/scale.rs
+++ b/crates/node/src/scale.rs
@@ -11,6 +11,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
+use tokio::signal::unix::{signal, SignalKind};
 
 /// A script or result that can't be used, or a run that came to nothing; one that misses what it expects ends with 1.
 const UNUSABLE: u8 = 2;
@@ -168,16 +169,29 @@
 fn report(script: &ScaleScript) -> Result<ScaleReport, String> {
     let program =
         std::env::current_exe().map_err(|error| format!("this program does not find itself: {error}"))?;
-    // Where the signal can't be had, the run simply goes to its end.
-    let stop = async {
+    let mut shown = Shown::new();
+    let report = run::run(script, &program, |progress| shown.show(progress), stopped());
+    shown.end();
+    report.map_err(|error| error.to_string())
+}
+
+/// Ends with Ctrl-C, or SIGTERM. Where these can't be had, the run simply goes to its end.
+async fn stopped() {
+    let terminated = async {
+        match signal(SignalKind::terminate()) {
+            Ok(mut terminated) => terminated.recv().await,
+            Err(_) => std::future::pending().await,
+        }
+    };
+    let interrupted = async {
         if tokio::signal::ctrl_c().await.is_err() {
             std::future::pending().await
         }
     };
-    let mut shown = Shown::new();
-    let report = run::run(script, &program, |progress| shown.show(progress), stop);
-    shown.end();
-    report.map_err(|error| error.to_string())
+    tokio::select! {
+        _ = terminated => {}
+        () = interrupted => {}
+    }
 }
 
 /// Progress on standard error: one line that is rewritten on a terminal, a line now and then elsewhere.
--- a/crates/rig/src/scale/beside.rs
+++ b/crates/rig/src/scale/beside.rs
@@ -65,7 +65,11 @@
             classes: classes(),
             seed: script.seed,
         };
-        self.nodes = Some(RealNodes::start(servers, settings).await?);
+        let nodes = RealNodes::start(servers, settings).await?;
+        // They have read their files and are not started again: a run that is killed leaves none behind. What is still
+        // there goes with the nodes.
+        let _ = std::fs::remove_dir_all(nodes.folder());
+        self.nodes = Some(nodes);
         Ok(())
     }
 
--- a/crates/rig/src/scale/events.rs
+++ b/crates/rig/src/scale/events.rs
@@ -178,11 +178,21 @@
         self.planned.push(Planned { at, step });
     }
 
+    /// A step with which something ends, if it does.
+    fn step_at_end(&mut self, end: Option<Duration>, step: Step) {
+        if let Some(at) = end {
+            self.step(at, step);
+        }
+    }
+
     fn event(&mut self, event: &Event, draw: Draw) {
-        let (from, to) = (event.at, event.at + event.over);
+        let from = event.at;
+        let to = event.over.map(|over| from + over);
         match event.what {
             EventKind::Changes { per_day, step } => self.changes(event, per_day, step, draw),
-            EventKind::Restarts { per_day, down } => self.restarts(event, per_day, down, draw),
+            EventKind::Restarts { per_day, down, nodes_only } => {
+                self.restarts(event, per_day, down, nodes_only, draw);
+            }
             EventKind::Zone { zone } => {
                 let drawn = (draw.bits() % u64::from(self.script.zones)) as u32;
                 self.zone(event, zone.unwrap_or(drawn));
@@ -198,12 +208,12 @@
             EventKind::ReplicaLagging { replica, lag } => {
                 let replica = self.replica(replica, draw);
                 self.step(from, Step::Lag { replica, by: lag });
-                self.step(to, Step::Lag { replica, by: Duration::ZERO });
+                self.step_at_end(to, Step::Lag { replica, by: Duration::ZERO });
             }
             EventKind::ReplicaReset { replica, versions } => {
                 let replica = self.replica(replica, draw);
                 self.step(from, Step::Lose { replica, versions });
-                self.step(to, Step::Restore { replica });
+                self.step_at_end(to, Step::Restore { replica });
             }
             EventKind::DiscoveryAway => {
                 let all = (0..self.script.running_replicas()).collect();
@@ -225,7 +235,8 @@
 
     fn answer(&mut self, event: &Event, replicas: Vec<u32>, answering: Answering) {
         self.step(event.at, Step::Answer { replicas: replicas.clone(), answering });
-        self.step(event.at + event.over, Step::Answer { replicas, answering: Answering::Up });
+        let end = event.over.map(|over| event.at + over);
+        self.step_at_end(end, Step::Answer { replicas, answering: Answering::Up });
     }
 
     fn changes(&mut self, event: &Event, per_day: f64, step: Duration, draw: Draw) {
@@ -239,12 +250,12 @@
         }
     }
 
-    fn restarts(&mut self, event: &Event, per_day: f64, down: Duration, draw: Draw) {
+    fn restarts(&mut self, event: &Event, per_day: f64, down: Duration, nodes_only: bool, draw: Draw) {
         let machines = u64::from(self.script.nodes) + self.at_start.len() as u64;
         for (number, at) in times(event, per_day, down, draw).into_iter().enumerate() {
             let draw = draw.on(1).on(number as u64);
             let back = at + down;
-            let is_node = draw.bits() % machines < u64::from(self.script.nodes);
+            let is_node = nodes_only || draw.bits() % machines < u64::from(self.script.nodes);
             if is_node {
                 if let Some(node) = self.nodes.draw(draw.on(1), at, back) {
                     self.step(at, Step::Kill(vec![node]));
@@ -257,7 +268,7 @@
     }
 
     fn zone(&mut self, event: &Event, zone: u32) {
-        let (from, to) = (event.at, event.at + event.over);
+        let (from, to) = (event.at, event.at + event.over.unwrap_or_default());
         let in_zone = |number: &u32| number % self.script.zones == zone;
         let nodes: Vec<_> = (0..self.script.nodes).filter(in_zone).collect();
         let nodes: Vec<_> = nodes.into_iter().filter(|&node| self.nodes.take(node, from, to)).collect();
@@ -314,8 +325,9 @@
 
 /// When things of a rate begin that take so long, within an event: evenly, each drawn within its part. At least one.
 fn times(event: &Event, per_day: f64, takes: Duration, draw: Draw) -> Vec<Duration> {
-    let count = (per_day * event.over.as_secs_f64() / SECONDS_A_DAY).round().max(1.0) as u32;
-    let room = event.over.saturating_sub(takes);
+    let over = event.over.unwrap_or_default();
+    let count = (per_day * over.as_secs_f64() / SECONDS_A_DAY).round().max(1.0) as u32;
+    let room = over.saturating_sub(takes);
     let part = room / count;
     (0..count)
         .map(|number| event.at + part * number + part.mul_f64(draw.on(u64::from(number)).unit()))
--- a/crates/rig/src/scale/fit.rs
+++ b/crates/rig/src/scale/fit.rs
@@ -101,6 +101,10 @@
     ("hollow nodes' processor at rest, s/s", Over::Nodes, |report| {
         Some(report.rest.hollow_processor_s / report.rest.seconds)
     }),
+    ("hollow nodes' processor at rest, s/s", Over::NodesTimesServers, |report| {
+        Some(report.rest.hollow_processor_s / report.rest.seconds)
+    }),
+    ("one node's processor at rest, us/s", Over::Servers, |report| Some(report.rest.node_processor_us_per_s)),
     ("hollow nodes' resident at rest, bytes", Over::NodesTimesServers, |report| {
         Some(report.rest.hollow_resident_bytes as f64)
     }),
--- a/crates/rig/src/scale/scenarios.rs
+++ b/crates/rig/src/scale/scenarios.rs
@@ -14,6 +14,7 @@
     "changes",
     "changes-tenfold",
     "restarts-tenfold",
+    "node-restarts",
     "zone",
     "replica-lost",
     "discovery-away",
--- a/crates/rig/src/scale/script.rs
+++ b/crates/rig/src/scale/script.rs
@@ -76,8 +76,8 @@
 pub struct Event {
     /// When it begins, from the beginning of the measurement.
     pub at: Duration,
-    /// How long it takes.
-    pub over: Duration,
+    /// How long it takes; none for what nothing ends.
+    pub over: Option<Duration>,
     /// What it is.
     pub what: EventKind,
 }
@@ -98,6 +98,8 @@
         per_day: f64,
         /// Each is down for so long.
         down: Duration,
+        /// Nodes alone are restarted.
+        nodes_only: bool,
     },
     /// A zone's nodes are killed and its servers gone; at the end all are back.
     Zone {
@@ -259,9 +261,12 @@
         let kind = table.word("kind", &KINDS);
         table.need("kind", kind.map(|_| ()));
         let kind = KINDS[kind?];
-        let over = if kind == "replica-set" { over.unwrap_or_default() } else { table.need("over", over) };
-        if at + over > length {
-            let found = time_text(at + over);
+        if !may_last(kind) {
+            table.need("over", over);
+        }
+        let end = at + over.unwrap_or_default();
+        if end > length {
+            let found = time_text(end);
             let length = time_text(length);
             table
                 .fault("over", format!("expected an end within the length, \"{length}\", found \"{found}\""));
@@ -271,6 +276,11 @@
     read.into_iter().flatten().collect()
 }
 
+/// Faults of replicas may last; a set of replicas always does.
+fn may_last(kind: &str) -> bool {
+    kind.starts_with("replica-") || kind == "discovery-away"
+}
+
 fn event_kind(table: &Table, kind: &str, zones: u32, replicas: u32) -> EventKind {
     let per_day = || table.need("per_day", table.number("per_day", A_DAY));
     let below = |name, count: u32| {
@@ -286,6 +296,7 @@
         "restarts" => EventKind::Restarts {
             per_day: per_day(),
             down: table.time("down", STEP).unwrap_or(Duration::from_secs(2)),
+            nodes_only: table.flag("nodes_only").unwrap_or(false),
         },
         "zone" => EventKind::Zone { zone: below("zone", zones) },
         "replica-lost" => EventKind::ReplicaLost { replica: replica() },
--- a/crates/rig/tests/scale_events.rs
+++ b/crates/rig/tests/scale_events.rs
@@ -13,7 +13,7 @@
 }
 
 fn with_event(what: EventKind) -> ScaleScript {
-    let event = Event { at: Duration::from_secs(5), over: Duration::from_secs(20), what };
+    let event = Event { at: Duration::from_secs(5), over: Some(Duration::from_secs(20)), what };
     ScaleScript { events: vec![event], ..shipped("quiet") }
 }
 
@@ -92,6 +92,7 @@
             // 200 in 20 s.
             per_day: 864_000.0,
             down: Duration::from_secs(1),
+            nodes_only: false,
         })
     };
     let steps = plan(&script);
@@ -140,11 +141,15 @@
 #[test]
 fn nothing_is_drawn_for_two_things_at_once() {
     let mut script = ScaleScript { servers: 40, nodes: 40, ..shipped("zone") };
-    let over = Duration::from_secs(25);
-    let at = Duration::from_secs(20);
+    let over = Some(Duration::from_secs(25));
+    let at = Duration::from_secs(5);
     let step = Duration::from_secs(2);
     script.events.push(Event { at, over, what: EventKind::Changes { per_day: 100_000.0, step } });
-    script.events.push(Event { at, over, what: EventKind::Restarts { per_day: 100_000.0, down: step } });
+    script.events.push(Event {
+        at,
+        over,
+        what: EventKind::Restarts { per_day: 100_000.0, down: step, nodes_only: false },
+    });
     let mut health: BTreeMap<String, String> = BTreeMap::new();
     let mut down = BTreeSet::new();
     for Planned { step, .. } in plan(&script) {
@@ -178,3 +183,20 @@
     let answers = |answering| Step::Answer { replicas: vec![0, 1, 2, 3], answering };
     assert_eq!(steps, [answers(Answering::Away), answers(Answering::Up)]);
 }
+
+#[test]
+fn a_fault_of_no_stated_length_is_not_ended() {
+    let mut script = with_event(EventKind::ReplicaLost { replica: Some(5) });
+    script.events[0].over = None;
+    let steps: Vec<_> = plan(&script).into_iter().map(|planned| planned.step).collect();
+    assert_eq!(steps, [Step::Answer { replicas: vec![5], answering: Answering::Away }]);
+}
+
+#[test]
+fn restarts_of_nodes_only_change_nothing_on_the_list() {
+    let steps = plan(&shipped("node-restarts"));
+    assert_eq!(changes(&steps), 0);
+    // 40 s of a day are 1/2160.
+    let killed = steps.iter().filter(|planned| matches!(planned.step, Step::Kill(_))).count();
+    assert_eq!((killed, steps.len()), (60, 120));
+}
--- a/crates/rig/tests/scale_script.rs
+++ b/crates/rig/tests/scale_script.rs
@@ -35,6 +35,13 @@
     assert_eq!((script.known_replicas(), script.running_replicas()), (3, 3));
 }
 
+#[test]
+fn faults_of_replicas_may_last() {
+    let lost = "[[event]]\nkind = \"replica-lost\"\nat = \"5s\"\n";
+    let script = ScaleScript::parse("my.toml", &format!("{SMALL}{lost}")).unwrap();
+    assert_eq!((script.events[0].over, script.first_event().as_secs()), (None, 5));
+}
+
 #[test]
 fn without_the_mechanism_one_replica_is_known_and_runs() {
     let text = SMALL.replace("replicas = 3", "replicas = 3\nmechanism = false");
