Test what each replica of a scale run is told

Need: what the run tells each replica (changes, faults, their ends) had no test of its own. Change: tests of the set of replicas.

--- /dev/null
+++ b/crates/rig/tests/scale_replica_set.rs
@@ -0,0 +1,93 @@
+//! What each replica of a scale run is told.
+
+use rig::scale::events::servers_at_start;
+use rig::scale::messages::{ListedServer, ReplicaCommand};
+use rig::scale::replica_set::{ReplicaSet, Told};
+use rig::scale::{scenarios, ScaleScript};
+use std::time::Duration;
+use tokio::time::Instant;
+
+const LAG: Duration = Duration::from_secs(2);
+
+fn servers() -> Vec<ListedServer> {
+    let scenario = scenarios::named("quiet").unwrap();
+    let script = ScaleScript::parse(scenario.name, scenario.text).unwrap();
+    servers_at_start(&ScaleScript { servers: 3, ..script })
+}
+
+fn with_health(server: &ListedServer, health: &str) -> ListedServer {
+    ListedServer { health: health.into(), ..server.clone() }
+}
+
+/// The replicas that are told of a change, and the change's version.
+fn changes(told: &[Told]) -> Vec<(usize, u64)> {
+    let change = |(replica, command): &Told| match command {
+        ReplicaCommand::Change { version, .. } => (*replica, *version),
+        other => panic!("{other:?}"),
+    };
+    told.iter().map(change).collect()
+}
+
+/// The one replica that is reset, to which version and how many entries.
+fn reset(told: &[Told]) -> (usize, u64, usize) {
+    match told {
+        [(replica, ReplicaCommand::Reset { version, servers })] => (*replica, *version, servers.len()),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn each_change_has_a_version_of_its_own_and_goes_to_all_replicas() {
+    let (servers, now) = (servers(), Instant::now());
+    let mut set = ReplicaSet::new(2, 1, &servers);
+    assert_eq!(changes(&set.change(with_health(&servers[0], "draining"), now)), [(0, 2), (1, 2)]);
+    assert_eq!((set.version(), set.listed()), (2, 3));
+    assert_eq!(changes(&set.change(with_health(&servers[0], "gone"), now)), [(0, 3), (1, 3)]);
+    assert_eq!((set.version(), set.listed()), (3, 2));
+    assert_eq!(set.next_due(), None);
+}
+
+#[test]
+fn a_replica_that_lags_learns_of_changes_later_and_in_their_order() {
+    let (servers, now) = (servers(), Instant::now());
+    let mut set = ReplicaSet::new(2, 1, &servers);
+    assert!(set.lag(1, LAG).is_empty());
+    let second = now + Duration::from_secs(1);
+    assert_eq!(changes(&set.change(with_health(&servers[0], "draining"), now)), [(0, 2)]);
+    assert_eq!(changes(&set.change(with_health(&servers[0], "gone"), second)), [(0, 3)]);
+    assert_eq!(set.next_due(), Some(now + LAG));
+    assert!(set.due(second).is_empty());
+    assert_eq!(changes(&set.due(now + LAG)), [(1, 2)]);
+    // With the lag's end it learns at once what was still to come, and what comes from then on.
+    assert_eq!(changes(&set.lag(1, Duration::ZERO)), [(1, 3)]);
+    assert_eq!(set.next_due(), None);
+    assert_eq!(changes(&set.change(with_health(&servers[1], "gone"), second)), [(0, 4), (1, 4)]);
+}
+
+#[test]
+fn a_replica_that_lost_its_entries_learns_nothing_until_it_has_the_whole_list_again() {
+    let (servers, now) = (servers(), Instant::now());
+    let mut set = ReplicaSet::new(2, 7, &servers);
+    assert_eq!(reset(&set.lose(0, false)), (0, 7, 0));
+    assert_eq!(changes(&set.change(with_health(&servers[0], "gone"), now)), [(1, 8)]);
+    assert_eq!(reset(&set.restore(0)), (0, 8, 2));
+    assert_eq!(changes(&set.change(with_health(&servers[1], "gone"), now)), [(0, 9), (1, 9)]);
+}
+
+#[test]
+fn a_replica_that_lost_its_count_of_versions_begins_at_1_with_the_list_of_that_time() {
+    let (servers, now) = (servers(), Instant::now());
+    let mut set = ReplicaSet::new(2, 7, &servers);
+    set.lag(0, LAG);
+    set.change(with_health(&servers[0], "gone"), now);
+    assert_eq!(reset(&set.lose(0, true)), (0, 1, 2));
+    // What it was to learn later is lost as well.
+    assert_eq!(set.next_due(), None);
+    assert_eq!(reset(&set.restore(0)), (0, 8, 2));
+}
+
+#[test]
+fn replicas_that_are_none_are_told_nothing() {
+    let mut set = ReplicaSet::new(2, 1, &servers());
+    assert!(set.lag(2, LAG).is_empty() && set.lose(2, true).is_empty() && set.restore(2).is_empty());
+}
