--- a/crates/rig/tests/scale_fit.rs
+++ b/crates/rig/tests/scale_fit.rs
@@ -4,6 +4,7 @@
 use rig::scale::acts::{ActFigures, ReadyFigures};
 use rig::scale::fit::{fit, FitError, Line, Over};
 use rig::scale::messages::ReplicaCapacity;
+use rig::scale::plot;
 use rig::scale::report::{largest_over_mean, ScaleReport, WindowFigures, VERSION};
 
 /// A result in which a node takes 5 us a second and its memory is 40,000 bytes and 300 for each server.
@@ -134,3 +135,18 @@
     assert_eq!(largest_over_mean([1.0, 2.0, 3.0].into_iter()), 1.5);
     assert_eq!(largest_over_mean([0.0, 0.0].into_iter()), 0.0);
 }
+
+#[test]
+fn plots_show_each_line_with_its_points_and_the_distribution_of_acts() {
+    let results = [result(500, 100), result(1_000, 200), result(2_000, 400)];
+    let fit = fit(&results, Some(&result(5_900, 1_100))).unwrap();
+    let svg = plot::fits(&fit).unwrap();
+    assert_eq!(svg.matches("<circle").count(), fit.lines.len() * 4);
+    // Of hollow nodes, over both sizes, and of replicas.
+    assert_eq!(svg.matches("processor at rest, s/s").count(), 3);
+    let mut report = result(500, 100);
+    report.acts.distribution = vec![(0.0, 1.0), (0.5, 20.0), (1.0, 80.0)];
+    assert!(plot::acts(&report).unwrap().contains("<polyline"));
+    // Nothing to show is no failure.
+    assert!(plot::acts(&result(500, 100)).unwrap().contains("500 nodes"));
+}
