Draw what caches hold at the start; play up to 10,000 nodes in virtual time

The player in virtual time found the place of every key by one decision each before the first second was played: keys times servers, and it refused more than 2,000 nodes. Now a cache server's number of initial entries is drawn from the same distribution, and the place of a key is looked up at the first request for it, while that makes a difference. The player on sockets lists entries one by one as before and keeps its bound of 2,000 nodes, with an error that says so. The test of the script's range states the new bound.

--- a/crates/node/src/rehearse.rs
+++ b/crates/node/src/rehearse.rs
@@ -34,7 +34,7 @@
     #[arg(long)]
     seed: Option<u64>,
     /// Plays with so many nodes, rather than the script's own number
-    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=2_000))]
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=10_000))]
     nodes: Option<u32>,
     /// Prints one line of JSON instead of the table and the picture
     #[arg(long)]
@@ -58,7 +58,7 @@
     #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u32).range(0..=1_000))]
     seeds: u32,
     /// Plays with so many nodes, rather than the scripts' own numbers
-    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=2_000))]
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=10_000))]
     nodes: Option<u32>,
     /// Who plays them
     #[arg(long, value_enum, default_value_t = Player::Virtual)]
--- a/crates/rig/src/conduct.rs
+++ b/crates/rig/src/conduct.rs
@@ -77,6 +77,7 @@
     Job {
         id,
         key: ask.key_number(),
+        initial_rank: None,
         work: class.work.mul_f64(draw.on(1).log_normal(class.spread)),
         write: class.write,
         handshake: if fresh_connection { script.network.handshake_work } else { Duration::ZERO },
--- a/crates/rig/src/draw.rs
+++ b/crates/rig/src/draw.rs
@@ -39,12 +39,16 @@
         -self.unit().ln()
     }
 
+    /// Normal, of mean 0 and deviation 1.
+    pub fn normal(self) -> f64 {
+        // Box and Muller, 1958: one of the pair is enough.
+        (-2.0 * self.on(1).unit().ln()).sqrt() * (TAU * self.on(2).unit()).cos()
+    }
+
     /// Log-normal of mean 1 and this coefficient of variation.
     pub fn log_normal(self, variation: f64) -> f64 {
         let variance = (variation * variation).ln_1p();
-        // Box and Muller, 1958: one of the pair is enough.
-        let normal = (-2.0 * self.on(1).unit().ln()).sqrt() * (TAU * self.on(2).unit()).cos();
-        (variance.sqrt() * normal - variance / 2.0).exp()
+        (variance.sqrt() * self.normal() - variance / 2.0).exp()
     }
 }
 
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -1,12 +1,7 @@
-//! The fleet of a script: who sits where, what nodes are told of it, and what its memories hold at the start.
+//! The fleet of a script: who sits where, and what nodes are told of it.
 
-use crate::demand::key_number;
 use crate::script::{Kind, Script};
-use decide::{
-    Action, Availability, Balancer, Class, Event, LoadReport, Outcome, Request, RequestId, ServerEntry,
-    ServerId, Settings, Status, Timestamp,
-};
-use std::time::Duration;
+use decide::{Availability, Class, ServerEntry, ServerId, Settings, Timestamp};
 
 /// Cache servers that share their memory of keyed repeats.
 const CELL: usize = 8;
@@ -95,33 +90,3 @@
         ..Settings::default()
     }
 }
-
-/// Who holds what at the start: what is asked for most, each entry where the decisions would look for it, the least
-/// asked for first, so that what is asked for most is the last to go from a full memory.
-pub fn held_at_start(script: &Script, list: Vec<ServerEntry>) -> Vec<(ServerId, u64)> {
-    let now = Timestamp::default();
-    let count = (f64::from(script.load.keys) * script.origin.warm) as u32;
-    let mut balancer = Balancer::new(Settings { must_follow: false, nodes: 1, ..settings(script, 0) }, 0);
-    balancer.handle(now, Event::Restored(list.into()), &mut Vec::new());
-    let mut held = Vec::new();
-    for rank in (0..count).rev() {
-        let (id, key) = (RequestId::from("warm-up"), key_number(rank));
-        let request = Request { key: Some(key), ..Request::new(id.as_str(), now + Duration::from_secs(1)) };
-        let mut actions = Vec::new();
-        balancer.handle(now, Event::Request(request), &mut actions);
-        let Some(Action::Send { server, .. }) = actions.first().cloned() else { continue };
-        held.push((server.clone(), key));
-        let outcome = Outcome {
-            id,
-            attempt: 0,
-            server,
-            status: Status::Ok,
-            note: None,
-            took: Duration::from_millis(1),
-            finished: true,
-            load: LoadReport::default(),
-        };
-        balancer.handle(now, Event::Outcome(outcome), &mut actions);
-    }
-    held
-}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -6,6 +6,7 @@
 //!   same script gives the same ones, whoever plays it and however things interleave.
 //! - [`conduct`] says how clients, messages and work behave, for every player.
 //! - [`fleet`] says who sits where, and what nodes are told of it.
+//! - [`placement`] says which cache server holds what at the start.
 //! - [`world`] holds the stand-ins as state machines without I/O or a clock.
 //! - [`simulate`] is the player in virtual time: one thread, no wall clock, the same bytes every time.
 //! - [`live`] is the player on sockets: real processes, real time.
@@ -21,6 +22,7 @@
 pub mod ledger;
 pub mod live;
 pub mod page;
+pub mod placement;
 pub mod report;
 pub mod scale;
 pub mod scenarios;
--- a/crates/rig/src/live/cache.rs
+++ b/crates/rig/src/live/cache.rs
@@ -6,6 +6,7 @@
 use crate::draw::Draw;
 use crate::fleet;
 use crate::ledger::Fact;
+use crate::placement;
 use crate::timeline::Condition;
 use crate::world::cache_server::Did;
 use crate::world::{CacheServer, Verdict};
@@ -56,7 +57,7 @@
     // At the start, the hosts' numbers are those of their processes.
     let by_name: HashMap<_, _> =
         list.iter().enumerate().map(|(host, entry)| (entry.id.clone(), host)).collect();
-    for (server, key) in fleet::held_at_start(&world.script, list) {
+    for (server, key) in placement::held_at_start(&world.script, list) {
         state.processes[by_name[&server]].server.hold(key);
     }
     Ok(())
--- a/crates/rig/src/live/mod.rs
+++ b/crates/rig/src/live/mod.rs
@@ -37,6 +37,9 @@
 const LATE_ONCE: Duration = Duration::from_millis(400);
 const TICK: Duration = Duration::from_millis(5);
 
+/// Nodes that a play on sockets may have: each is a process.
+pub const MOST_NODES: u32 = 2_000;
+
 /// Why a play on sockets came to nothing.
 #[derive(Debug, Error)]
 pub enum LiveError {
@@ -48,6 +51,12 @@
         /// What the system said.
         error: std::io::Error,
     },
+    /// More processes than one machine can stand in for.
+    #[error("expected {MOST_NODES} nodes at the most on sockets, found {found}; the player in virtual time takes more")]
+    TooManyNodes {
+        /// How many the script has.
+        found: u32,
+    },
     /// A node did not come up.
     #[error("node {node} did not start: {said}")]
     Node {
@@ -92,6 +101,9 @@
     mut progress: impl FnMut(Duration, &Sample) + 'static,
     stop: impl std::future::Future<Output = ()>,
 ) -> Result<Live, LiveError> {
+    if script.nodes > MOST_NODES {
+        return Err(LiveError::TooManyNodes { found: script.nodes });
+    }
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -144,6 +156,7 @@
         log_lines: played.log_lines,
         samples: played.samples,
         counts: Vec::new(),
+        placements_looked_up: 0,
     };
     world.nodes.borrow_mut().clear();
     let failed = world.failed.take();
--- a/crates/rig/src/script/file.rs
+++ b/crates/rig/src/script/file.rs
@@ -9,8 +9,9 @@
 const SOME_TIME: RangeInclusive<Duration> = Duration::from_micros(1)..=Duration::from_secs(3_600);
 const SHARE: RangeInclusive<f64> = 0.0..=1.0;
 const FACTOR: RangeInclusive<f64> = 0.01..=100.0;
+/// Nodes that the player in virtual time takes; [`crate::live::MOST_NODES`] is that of the player on sockets.
+const MOST_NODES: u64 = 10_000;
 /// More than one machine can stand in for.
-const MOST_NODES: u64 = 2_000;
 const MOST_BOXES: u64 = 4_000;
 const MOST_RATE: f64 = 20_000.0;
 
--- a/crates/rig/src/simulate/attempts.rs
+++ b/crates/rig/src/simulate/attempts.rs
@@ -176,7 +176,9 @@
         }
         let (ask, draw) = (&self.asks[self.tries[request].ask].0, self.try_draw(request));
         let id = request as u64 * ATTEMPTS + attempt as u64;
-        let job = conduct::job(self.script, ask, draw.on(10).on(attempt as u64), id, fresh);
+        let mut job = conduct::job(self.script, ask, draw.on(10).on(attempt as u64), id, fresh);
+        let rank = ask.key;
+        job.initial_rank = self.initial_rank(host, process, job.key, rank);
         match self.processes[process].server.offer(self.now, job) {
             Offer::Taken => self.look(process),
             Offer::Declined => self.send_back(request, attempt, Status::QueueFull, false),
--- a/crates/rig/src/simulate/mod.rs
+++ b/crates/rig/src/simulate/mod.rs
@@ -19,6 +19,7 @@
 use crate::draw::Draw;
 use crate::fleet;
 use crate::ledger::{Answer, Ledger, Verdict};
+use crate::placement::Placement;
 use crate::script::Script;
 use crate::timeline::{changes, Change, Condition};
 use crate::world::{CacheServer, Origin};
@@ -82,6 +83,9 @@
     pub samples: Vec<Sample>,
     /// What all nodes did to the fleet, by second; empty on sockets, where nobody sees it all.
     pub counts: Vec<Counts>,
+    /// Entries whose place at the start was looked up. In virtual time.
+    #[serde(skip)]
+    pub placements_looked_up: usize,
 }
 
 /// The world at one moment.
@@ -156,6 +160,7 @@
         log_lines: play.log_lines,
         samples: play.samples,
         counts: play.counts,
+        placements_looked_up: play.placement.map_or(0, |placement| placement.lookups()),
     }
 }
 
@@ -276,6 +281,7 @@
     changes: Vec<Change>,
     hosts: Vec<Host>,
     by_id: HashMap<ServerId, usize>,
+    placement: Option<Placement>,
     /// By seat: its host of today.
     seats: Vec<usize>,
     /// By seat.
@@ -327,6 +333,7 @@
             changes: Vec::new(),
             hosts: Vec::new(),
             by_id: HashMap::new(),
+            placement: None,
             seats: Vec::new(),
             conditions: vec![Condition::default(); fleet::seats(script)],
             forgotten: vec![None; fleet::seats(script)],
--- a/crates/rig/src/simulate/servers.rs
+++ b/crates/rig/src/simulate/servers.rs
@@ -4,11 +4,15 @@
 use super::{Attempt, Host, Listed, Play, Process, ATTEMPTS};
 use crate::fleet;
 use crate::ledger::Fact;
+use crate::placement::Placement;
 use crate::world::cache_server::Did;
-use crate::world::CacheServer;
+use crate::world::{CacheServer, InitialEntries};
 use decide::{Availability, ServerEntry, ServerId, Status};
 use std::collections::BTreeSet;
 
+/// Source of what is drawn for the entries held at the start.
+const WARM_UP: u64 = 0x7761_726d;
+
 impl Play<'_> {
     pub(super) fn new_host(&mut self, seat: usize, seasoned: bool) {
         let before = self.hosts.iter().filter(|host| host.seat == seat).count();
@@ -40,11 +44,27 @@
 
     pub(super) fn warm_up(&mut self) {
         let list: Vec<_> = (0..self.hosts.len()).map(|host| self.entry(host)).collect();
-        for (server, key) in fleet::held_at_start(self.script, list) {
-            if let Some(process) = self.by_id.get(&server).and_then(|&host| self.hosts[host].process) {
-                self.processes[process].server.hold(key);
+        let placement = Placement::new(self.script, list.clone());
+        let draw = self.draw.on(WARM_UP);
+        for (host, entry) in list.into_iter().enumerate() {
+            let memory = fleet::kind(self.script, self.hosts[host].seat).memory;
+            let share = placement.share(entry.weight);
+            let initial = InitialEntries::new(placement.ranks(), share, memory, draw.on(host as u64));
+            if let Some(process) = self.hosts[host].process {
+                self.processes[process].server.hold_initially(initial);
             }
         }
+        self.placement = Some(placement);
+    }
+
+    /// The rank of an entry, if this host is the one that held it at the start where any did. Looked up only while that
+    /// makes a difference.
+    pub(super) fn initial_rank(&mut self, host: usize, process: usize, key: u64, rank: u32) -> Option<u32> {
+        if !self.processes[process].server.may_hold_initially(key, rank) {
+            return None;
+        }
+        let server = self.placement.as_mut()?.server(rank)?;
+        (server == self.hosts[host].id).then_some(rank)
     }
 
     pub(super) fn entry(&self, host: usize) -> ServerEntry {
--- a/crates/rig/src/world/cache_server.rs
+++ b/crates/rig/src/world/cache_server.rs
@@ -3,6 +3,7 @@
 //! A request that is taken waits for a slot, then, if its entry is not held, for the origin, then for a core. Misses
 //! for one key do not share a fetch. Nothing that a client or a node does stops work that was taken.
 
+use super::initial::InitialEntries;
 use crate::draw::Draw;
 use crate::script::{Kind, Reports, Rules};
 use decide::Timestamp;
@@ -21,6 +22,8 @@
     pub id: JobId,
     /// The entry.
     pub key: u64,
+    /// The entry's rank, if it is this server that held it at the start where any did.
+    pub initial_rank: Option<u32>,
     /// Work of a standard core.
     pub work: Duration,
     /// It changes its entry: the origin is always asked.
@@ -85,7 +88,10 @@
     seasoned: bool,
     /// Work done since the start, in seconds of a standard core.
     done: f64,
+    /// Entries that something has asked for, or that were listed one by one at the start.
     entries: LruCache<u64, ()>,
+    /// Others, older than all of these.
+    initial: InitialEntries,
     draining: bool,
     errors: f64,
     paused_until: Timestamp,
@@ -121,6 +127,7 @@
             seasoned,
             done: 0.0,
             entries: LruCache::unbounded(),
+            initial: InitialEntries::none(),
             draining: false,
             errors: 0.0,
             paused_until: now,
@@ -148,6 +155,46 @@
         self.entries.put(key, ());
     }
 
+    /// Holds this many entries from the start that are not listed.
+    pub fn hold_initially(&mut self, initial: InitialEntries) {
+        self.initial = initial;
+    }
+
+    /// Whether it depends on the place of this entry whether it is held.
+    pub fn may_hold_initially(&self, key: u64, rank: u32) -> bool {
+        self.initial.reaches(rank) && !self.entries.contains(&key)
+    }
+
+    /// How many entries it holds.
+    pub fn entries(&self) -> usize {
+        self.entries.len() + self.initial.count()
+    }
+
+    /// Whether the entry of a job is held; it is then the one used last.
+    fn finds(&mut self, job: &Job) -> bool {
+        if self.entries.get(&job.key).is_some() {
+            return true;
+        }
+        let held = self.takes_initial(job);
+        if held {
+            self.entries.put(job.key, ());
+        }
+        held
+    }
+
+    /// Keeps the entry of a job.
+    fn store(&mut self, job: &Job) {
+        let known = self.entries.contains(&job.key) || self.takes_initial(job);
+        if !known && self.entries() >= self.entries.cap().get() {
+            self.initial.evict();
+        }
+        self.entries.put(job.key, ());
+    }
+
+    fn takes_initial(&mut self, job: &Job) -> bool {
+        job.initial_rank.is_some_and(|rank| self.initial.take(rank))
+    }
+
     /// From now on it takes nothing new.
     pub fn drain(&mut self) {
         self.draining = true;
@@ -280,7 +327,7 @@
         let errors = 1.0 - (1.0 - self.kind.errors) * (1.0 - self.errors);
         let failed = work.fetch_failed || work.job.draw.on(7).unit() < errors;
         if !failed {
-            self.entries.put(work.job.key, ());
+            self.store(&work.job);
         }
         self.done += work.job.work.as_secs_f64();
         self.did.push(Did::Done { id, failed, hit: work.hit });
@@ -291,7 +338,7 @@
         let slots = (self.kind.slots_per_core * self.kind.cores) as usize;
         while self.in_work.len() < slots {
             let Some(job) = self.queue.pop_front() else { break };
-            let (id, hit) = (job.id, !job.write && self.entries.get(&job.key).is_some());
+            let (id, hit) = (job.id, !job.write && self.finds(&job));
             self.in_work.insert(id, InWork { job, hit, fetch_failed: false });
             if hit {
                 self.ready.push_back(id);
@@ -333,7 +380,15 @@
 
     fn job(id: u64, key: u64, work_ms: u64) -> Job {
         let work = Duration::from_millis(work_ms);
-        Job { id, key, work, write: false, handshake: Duration::ZERO, draw: Draw::new(id) }
+        Job {
+            id,
+            key,
+            initial_rank: None,
+            work,
+            write: false,
+            handshake: Duration::ZERO,
+            draw: Draw::new(id),
+        }
     }
 
     fn server(change: impl FnOnce(&mut Kind), seasoned: bool) -> CacheServer {
--- a/crates/rig/src/world/mod.rs
+++ b/crates/rig/src/world/mod.rs
@@ -2,7 +2,9 @@
 //! looked at again, in virtual time or on sockets alike.
 
 pub mod cache_server;
+pub mod initial;
 pub mod origin;
 
 pub use cache_server::{CacheServer, Job, Verdict};
+pub use initial::InitialEntries;
 pub use origin::Origin;
--- a/crates/rig/tests/live.rs
+++ b/crates/rig/tests/live.rs
@@ -11,6 +11,17 @@
     play(&Script::default(), Path::new(program), nobody, std::future::pending())
 }
 
+#[test]
+fn more_nodes_than_one_machine_can_stand_in_for_are_refused_before_anything_starts() {
+    let script = Script { nodes: 2_001, ..Script::default() };
+    let nobody = |_: Duration, _: &Sample| ();
+    let refused = play(&script, Path::new("/no/such/program"), nobody, std::future::pending());
+    let text = refused.expect_err("too many").to_string();
+    let expected =
+        "expected 2000 nodes at the most on sockets, found 2001; the player in virtual time takes more";
+    assert_eq!(text, expected);
+}
+
 // Guards against a play that waits for a node that is dead, or that blames something else.
 #[test]
 fn a_program_that_is_no_node_is_named_and_nothing_is_played() {
--- a/crates/rig/tests/scripts.rs
+++ b/crates/rig/tests/scripts.rs
@@ -15,11 +15,11 @@
     let cases = [
         ("speed = 3".into(), "bad.toml:3: speed: unknown key; known here: about, box, "),
         ("[load]\nrat = 3".into(), "bad.toml:4: load.rat: unknown key; known here: first_zone, keys, rate, "),
-        ("nodes = -1".into(), "bad.toml:3: nodes: expected a whole number from 1 to 2000, found -1"),
-        ("nodes = 1.5".into(), "bad.toml:3: nodes: expected a whole number from 1 to 2000, found 1.5"),
+        ("nodes = -1".into(), "bad.toml:3: nodes: expected a whole number from 1 to 10000, found -1"),
+        ("nodes = 1.5".into(), "bad.toml:3: nodes: expected a whole number from 1 to 10000, found 1.5"),
         (
             "nodes = 99999999999999999999999".into(),
-            "bad.toml:3: nodes: expected a whole number from 1 to 2000, found 9999",
+            "bad.toml:3: nodes: expected a whole number from 1 to 10000, found 9999",
         ),
         (
             "seed = -7".into(),
