--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod fronts;
 mod handover;
+mod hollow;
 mod input;
 mod list_file;
 mod listing;
@@ -15,6 +16,7 @@
 mod manager;
 mod readiness;
 mod rehearse;
+mod scale;
 mod stage;
 mod tally;
 mod upstream;
@@ -55,6 +57,14 @@
     Count(count::Arguments),
     /// Plays an incident with the real decisions, and judges it
     Rehearse(rehearse::Arguments),
+    /// Measures hundreds of hollow nodes against discovery by replicas, and lays lines through the figures
+    Scale(scale::Arguments),
+    /// One replica of the stand-in discovery of a scale run
+    #[command(hide = true)]
+    ScaleReplica,
+    /// Hollow nodes of a scale run
+    #[command(hide = true)]
+    ScaleHollow,
 }
 
 /// A file that cannot be used.
@@ -63,10 +73,13 @@
 fn main() -> ExitCode {
     match Arguments::parse().command {
         Some(Command::Rehearse(arguments)) => rehearse::run(arguments),
+        Some(Command::Scale(arguments)) => scale::run(arguments),
         Some(Command::Count(arguments)) => count::run(&arguments),
         Some(Command::Check { file }) => check(&file),
         Some(Command::Run { config, with_parent }) => served(daemon::start_from(&config, with_parent)),
         Some(Command::Fleet(arguments)) => fleet::run(arguments),
+        Some(Command::ScaleReplica) => served(rig::scale::replica::run().map_err(Into::into)),
+        Some(Command::ScaleHollow) => served(hollow::run().map_err(Into::into)),
         None => served(daemon::start()),
     }
 }
