Play clients of discovery against its replicas in virtual time

At 5,900 nodes the control plane can't be played on one machine's sockets. This player has the real decisions of clients, one queue of lines for each replica, watches, faults of replicas and regions that are cut off; the same seed gives the same bytes. Clients of one address so far.

--- /dev/null
+++ b/crates/rig/examples/control_plane.rs
@@ -0,0 +1,58 @@
+//! Plays scenes of the control plane in virtual time and prints a table.
+//!
+//!     cargo run --release -p rig --example control_plane -- off 200 0 [SCENE...]
+//!
+//! The first argument is `off` (all nodes know one replica) or `on`; then the lines a second of one replica and the lines of
+//! a call that continues a watch. All scenes are played where none is named.
+
+use rig::scale::messages::ReplicaCapacity;
+use rig::scale::virtual_time::scenes::{named, names, Size};
+use rig::scale::virtual_time::{play, table};
+use std::process::ExitCode;
+
+const USAGE: &str = "expected: off|on LINES-A-SECOND LINES-OF-A-CONTINUED-CALL [SCENE...]";
+const NODES: u32 = 5_900;
+const SERVERS: u32 = 1_100;
+const REPLICAS: u32 = 16;
+const CALL_LINES: f64 = 10.0;
+const QUEUE_LIMIT_MS: u64 = 3_000;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("{problem}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run() -> Result<(), String> {
+    let mut arguments = std::env::args().skip(1);
+    let mechanism = match arguments.next().as_deref() {
+        Some("off") => false,
+        Some("on") => true,
+        _ => return Err(USAGE.into()),
+    };
+    let mut number = || arguments.next().and_then(|text| text.parse::<f64>().ok()).ok_or(USAGE);
+    let (lines_per_second, continued_call_lines) = (number()?, number()?);
+    let capacity = ReplicaCapacity {
+        lines_per_second,
+        call_lines: CALL_LINES,
+        continued_call_lines,
+        queue_limit_ms: QUEUE_LIMIT_MS,
+    };
+    let size = Size { nodes: NODES, servers: SERVERS, replicas: REPLICAS, mechanism, capacity, seed: 1 };
+    let asked: Vec<String> = arguments.collect();
+    let all = names().map(str::to_owned).collect();
+    let wanted = if asked.is_empty() { all } else { asked };
+    let mut rows = Vec::new();
+    for name in wanted {
+        let scene = named(&name, &size).map_err(|error| error.to_string())?;
+        eprintln!("{name}");
+        let outcome = play(&scene);
+        rows.push((name, outcome));
+    }
+    println!("{}", table(rows.iter().map(|(name, outcome)| (name.as_str(), outcome))));
+    Ok(())
+}
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -9,6 +9,7 @@
 //! - [`run`](run::run) starts the [`processes`], carries the steps out and [measures](measure).
 //! - [`acts`] knows when which node acted on what; [`report`] shows it, and [`plot`] draws it.
 //! - [`fit`] lays lines through the figures of several sizes.
+//! - [`virtual_time`] plays clients of discovery alone, at any size, without sockets and clock.
 
 pub mod acts;
 pub mod events;
@@ -26,6 +27,7 @@
 pub mod scenarios;
 pub mod script;
 pub mod snapshot;
+pub mod virtual_time;
 
 pub use report::ScaleReport;
 pub use script::ScaleScript;
--- /dev/null
+++ b/crates/rig/src/scale/virtual_time/mod.rs
@@ -0,0 +1,25 @@
+//! The control plane in virtual time: clients of discovery with the real decisions, against replicas of discovery that have
+//! one queue each. No sockets and no wall clock: the same scene and seed give the same bytes.
+//!
+//! What is played is what a node does beside serving: it asks, waits, takes lists, fails and asks again. Connections cost
+//! nothing but their way; messages are whole. Clients of today know one address ([`client::OneAddress`]).
+//!
+//! - [`Scene`] says what the world is and what happens; [`scenes`] makes those that are played by name.
+//! - [`player`] plays one; [`replica`] is the queue, the list and the watches of one replica.
+//! - [`Outcome`] is what came of it; [`table`] shows several side by side.
+
+mod agenda;
+pub mod client;
+mod measure;
+mod nodes;
+pub mod player;
+pub mod replica;
+pub mod report;
+pub mod scene;
+pub mod scenes;
+mod versions;
+
+pub use measure::{Latencies, Outcome, ReplicaOutcome, Sent};
+pub use player::{play, play_traced, play_with};
+pub use report::table;
+pub use scene::{Occurrence, Scene, SceneError};
--- /dev/null
+++ b/crates/rig/src/scale/virtual_time/scenes.rs
@@ -0,0 +1,154 @@
+//! The scenes that are played by name: all scripts of scale runs that ship with the program, and some that sockets can't
+//! play: a rack that is lost, a region that is cut off, all nodes started at once without a list.
+
+use super::scene::{Occurrence, Scene, SceneError};
+use crate::scale::events::{servers_at_start, Step};
+use crate::scale::messages::{ListedServer, ReplicaCapacity};
+use crate::scale::scenarios;
+use crate::scale::script::{Event, EventKind, ScaleScript};
+use std::time::Duration;
+
+/// Scenes that only virtual time plays.
+pub const VIRTUAL_ONLY: [(&str, &str); 3] = [
+    (
+        "rack-lost",
+        "A quarter of one zone's nodes and servers is lost for a minute, and comes back all at once",
+    ),
+    ("region-cut-off", "One region is cut off from all others for an hour, in the middle of changes"),
+    ("all-start", "All nodes start at once, without a list"),
+];
+
+/// Nodes that are at rest have spread their calls by then.
+const SETTLE: Duration = Duration::from_secs(120);
+const CATCH_UP: Duration = Duration::from_secs(60);
+const CHANGES_A_DAY: f64 = 12_000.0;
+/// Of a zone's nodes and servers, one in so many is in the rack.
+const RACKS_A_ZONE: u32 = 4;
+const RACK_LOST_FOR: Duration = Duration::from_secs(60);
+const CUT_OFF_FOR: Duration = Duration::from_secs(3_600);
+/// Before and after an event.
+const MARGIN: Duration = Duration::from_secs(30);
+/// A list that takes longer to come is none that came.
+const ALL_START: Duration = Duration::from_secs(600);
+
+/// How large the world is, and what a replica can do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Size {
+    /// Nodes.
+    pub nodes: u32,
+    /// Servers on the list.
+    pub servers: u32,
+    /// Replicas of discovery.
+    pub replicas: u32,
+    /// Nodes know all replicas; else the first one only.
+    pub mechanism: bool,
+    /// What one replica can do.
+    pub capacity: ReplicaCapacity,
+    /// Decides every draw.
+    pub seed: u64,
+}
+
+/// The names of all scenes.
+pub fn names() -> impl Iterator<Item = &'static str> {
+    let shipped = scenarios::ALL.iter().map(|scenario| scenario.name);
+    shipped.chain(VIRTUAL_ONLY.iter().map(|(name, _)| *name))
+}
+
+/// The scene of this name, at this size.
+///
+/// # Errors
+/// Where there is none of this name, or its script is faulty or can't be played.
+pub fn named(name: &str, size: &Size) -> Result<Scene, SceneError> {
+    match name {
+        "rack-lost" => rack_lost(size),
+        "region-cut-off" => region_cut_off(size),
+        "all-start" => all_start(size),
+        _ => shipped(name, size),
+    }
+}
+
+/// A script of a scale run, with the pauses before and after that virtual time can afford.
+pub fn of_script(script: ScaleScript) -> Result<Scene, SceneError> {
+    Scene::of_script(ScaleScript {
+        settle: script.settle.max(SETTLE),
+        catch_up: script.catch_up.max(CATCH_UP),
+        ..script
+    })
+}
+
+fn shipped(name: &str, size: &Size) -> Result<Scene, SceneError> {
+    let unknown = || SceneError::Unknown { name: name.to_owned() };
+    let scenario = scenarios::named(name).ok_or_else(unknown)?;
+    let script = ScaleScript::parse(scenario.name, scenario.text).map_err(|faults| {
+        let faults: Vec<_> = faults.iter().map(ToString::to_string).collect();
+        SceneError::Script { faults: faults.join("; ") }
+    })?;
+    of_script(sized(script, size))
+}
+
+fn sized(script: ScaleScript, size: &Size) -> ScaleScript {
+    ScaleScript {
+        nodes: size.nodes,
+        servers: size.servers,
+        replicas: size.replicas,
+        mechanism: size.mechanism,
+        capacity: size.capacity,
+        seed: size.seed,
+        ..script
+    }
+}
+
+/// Nothing happens for this long.
+fn quiet(name: &str, length: Duration, size: &Size) -> Result<ScaleScript, SceneError> {
+    let scene = shipped(scenarios::DEFAULT, size)?;
+    Ok(ScaleScript { name: name.into(), length, events: Vec::new(), ..scene.script })
+}
+
+fn changes(length: Duration) -> Event {
+    let what = EventKind::Changes { per_day: CHANGES_A_DAY, step: Duration::from_secs(2) };
+    Event { at: Duration::ZERO, over: length, what }
+}
+
+fn rack_lost(size: &Size) -> Result<Scene, SceneError> {
+    let script = quiet("rack-lost", MARGIN + RACK_LOST_FOR + MARGIN, size)?;
+    let (lost, back) = (MARGIN, MARGIN + RACK_LOST_FOR);
+    let zones = script.zones;
+    let in_rack = move |number: u32| number % zones == 0 && number / zones % RACKS_A_ZONE == 0;
+    let nodes: Vec<_> = (0..script.nodes).filter(|node| in_rack(*node)).collect();
+    let numbered = (0u32..).zip(servers_at_start(&script));
+    let servers: Vec<_> = numbered.filter(|(number, _)| in_rack(*number)).map(|(_, server)| server).collect();
+    let of_servers = servers.into_iter().flat_map(|server| {
+        let gone = ListedServer { health: "gone".into(), ..server.clone() };
+        [(lost, change(gone, false)), (back, change(server, true))]
+    });
+    let of_nodes = [(lost, Step::Kill(nodes.clone())), (back, Step::Launch(nodes))];
+    let steps: Vec<_> = of_nodes.into_iter().chain(of_servers).collect();
+    let occurrences = steps.into_iter().map(|(at, step)| (at, Occurrence::Step(step)));
+    Ok(Scene::of_script(script)?.with(occurrences))
+}
+
+fn change(server: ListedServer, starts: bool) -> Step {
+    Step::Change { server, starts }
+}
+
+fn region_cut_off(size: &Size) -> Result<Scene, SceneError> {
+    let length = MARGIN + CUT_OFF_FOR + MARGIN;
+    let script = ScaleScript { events: vec![changes(length)], ..quiet("region-cut-off", length, size)? };
+    // The last of the regions: with fewer replicas than regions it has none of its own.
+    let region = script.regions - 1;
+    let cut = (MARGIN, Occurrence::CutOff { region });
+    let back = (MARGIN + CUT_OFF_FOR, Occurrence::Reconnect { region });
+    Ok(Scene::of_script(script)?.with([cut, back]))
+}
+
+fn all_start(size: &Size) -> Result<Scene, SceneError> {
+    let script = ScaleScript {
+        settle: Duration::ZERO,
+        catch_up: Duration::ZERO,
+        ..quiet("all-start", ALL_START, size)?
+    };
+    let all = (0..script.nodes).collect();
+    let launch = (Duration::ZERO, Occurrence::Step(Step::Launch(all)));
+    let scene = Scene::of_script(script)?.with([launch]);
+    Ok(Scene { nodes_run: false, ..scene })
+}
--- /dev/null
+++ b/crates/rig/src/scale/virtual_time/versions.rs
@@ -0,0 +1,89 @@
+//! All versions of the list in a scene: what each changed, and when. Replicas know it up to some version.
+
+use crate::scale::messages::ListedServer;
+use decide::Availability;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// The version of the list that a scene begins with.
+pub(super) const FIRST_VERSION: u64 = 1;
+
+/// A server, by its place in the order in which they were first listed.
+pub(super) type ServerNumber = u32;
+
+/// One change.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct VersionedChange {
+    pub(super) server: ServerNumber,
+    pub(super) state: Availability,
+    /// When discovery had it.
+    pub(super) at: Duration,
+}
+
+/// See the module's page.
+#[derive(Debug, Default)]
+pub(super) struct Versions {
+    names: Vec<String>,
+    /// What an entry of each server takes in an answer.
+    bytes: Vec<usize>,
+    numbers: HashMap<String, ServerNumber>,
+    changes: Vec<VersionedChange>,
+}
+
+impl Versions {
+    /// A list that nothing has changed yet.
+    pub(super) fn new(servers: &[ListedServer]) -> Self {
+        let mut versions = Self::default();
+        servers.iter().for_each(|server| {
+            versions.number(server);
+        });
+        versions
+    }
+
+    /// The latest version.
+    pub(super) fn latest(&self) -> u64 {
+        FIRST_VERSION + self.changes.len() as u64
+    }
+
+    /// Makes a new version.
+    pub(super) fn change(&mut self, server: &ListedServer, at: Duration) -> u64 {
+        let number = self.number(server);
+        let state = state(server);
+        self.changes.push(VersionedChange { server: number, state, at });
+        self.latest()
+    }
+
+    /// What made this version; `None` for the first one and for those that are not there.
+    pub(super) fn made(&self, version: u64) -> Option<VersionedChange> {
+        let place = version.checked_sub(FIRST_VERSION + 1)?;
+        self.changes.get(place as usize).copied()
+    }
+
+    pub(super) fn name(&self, server: ServerNumber) -> &str {
+        self.names.get(server as usize).map_or("", String::as_str)
+    }
+
+    pub(super) fn entry_bytes(&self, server: ServerNumber) -> usize {
+        self.bytes.get(server as usize).copied().unwrap_or_default()
+    }
+
+    fn number(&mut self, server: &ListedServer) -> ServerNumber {
+        if let Some(number) = self.numbers.get(&server.host) {
+            return *number;
+        }
+        let number = self.names.len() as ServerNumber;
+        self.names.push(server.host.clone());
+        // An entry is followed by a comma or a bracket. Only maps with keys that are no text can't be written.
+        self.bytes.push(serde_json::to_vec(server).map_or(0, |text| text.len() + 1));
+        self.numbers.insert(server.host.clone(), number);
+        number
+    }
+}
+
+fn state(server: &ListedServer) -> Availability {
+    match server.health.as_str() {
+        "ready" => Availability::Ready,
+        "draining" => Availability::Draining,
+        _ => Availability::Gone,
+    }
+}
--- /dev/null
+++ b/crates/rig/tests/control_plane.rs
@@ -0,0 +1,257 @@
+//! The control plane in virtual time: figures that follow from the scene alone, and what holds for every scene and seed.
+
+use proptest::prelude::*;
+use rig::scale::messages::ReplicaCapacity;
+use rig::scale::script::{Event, EventKind, ScaleScript};
+use rig::scale::virtual_time::client::{CallEnd, ClientDecisions, ClientStart, Next, NextCall};
+use rig::scale::virtual_time::replica::{LineQueue, QueueFull};
+use rig::scale::virtual_time::scenes::{named, names, Size, VIRTUAL_ONLY};
+use rig::scale::virtual_time::{play, play_traced, play_with, Occurrence, Outcome, Scene, SceneError, Sent};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+const CAPACITY: ReplicaCapacity = ReplicaCapacity {
+    lines_per_second: 1_000.0,
+    call_lines: 10.0,
+    continued_call_lines: 1.0,
+    queue_limit_ms: 3_000,
+};
+
+fn size(nodes: u32) -> Size {
+    Size { nodes, servers: 40, replicas: 1, mechanism: false, capacity: CAPACITY, seed: 1 }
+}
+
+fn quiet(size: &Size, events: Vec<Event>) -> Scene {
+    let scene = named("quiet", size).expect("a scene");
+    let script = ScaleScript { events, length: 120 * SECOND, catch_up: 300 * SECOND, ..scene.script };
+    Scene::of_script(script).expect("a scene")
+}
+
+fn event(at: u64, over: u64, what: EventKind) -> Event {
+    Event { at: Duration::from_secs(at), over: Duration::from_secs(over), what }
+}
+
+/// A client that knows several replicas and always asks the one that its number picks: enough to play several.
+struct OneOfSeveral {
+    one: Box<dyn ClientDecisions>,
+    replica: u32,
+}
+
+impl ClientDecisions for OneOfSeveral {
+    fn next_call(&mut self, now: Duration, draw: &mut dyn FnMut() -> f64) -> NextCall {
+        NextCall { replica: self.replica, ..self.one.next_call(now, draw) }
+    }
+
+    fn ended(&mut self, now: Duration, end: CallEnd, draw: &mut dyn FnMut() -> f64) -> Next {
+        self.one.ended(now, end, draw)
+    }
+}
+
+fn play_several(scene: &Scene) -> Outcome {
+    let replicas = scene.script.known_replicas();
+    play_with(scene, &mut |start: ClientStart| {
+        Box::new(OneOfSeveral { one: start.one_address(), replica: start.node % replicas })
+    })
+}
+
+fn assert_all_have_all(outcome: &Outcome) {
+    assert_eq!((outcome.never, outcome.without_list, outcome.went_back), (0, 0, 0), "{outcome:?}");
+}
+
+#[test]
+fn a_call_whose_turn_would_come_too_late_is_refused_and_costs_nothing() {
+    let mut queue = LineQueue::new(&ReplicaCapacity { lines_per_second: 10.0, ..CAPACITY });
+    assert_eq!(queue.charge(SECOND, 31.0), Ok(Duration::from_millis(4_100)));
+    assert_eq!(queue.charge(SECOND, 5.0), Err(QueueFull), "3.1 s are more than 3 s");
+    assert_eq!(queue.charge(Duration::from_millis(1_100), 5.0), Ok(Duration::from_millis(4_600)));
+    assert_eq!((queue.lines(), queue.longest_wait()), (36.0, 3 * SECOND));
+    assert_eq!(queue.charge(9 * SECOND, 0.0), Ok(9 * SECOND), "nothing waits any more");
+}
+
+#[test]
+fn at_rest_watches_follow_each_other_at_the_cost_of_continued_ones_and_nothing_fails() {
+    for continued_call_lines in [0.0, 1.0, 10.0] {
+        let capacity = ReplicaCapacity { continued_call_lines, ..CAPACITY };
+        let outcome = play(&quiet(&Size { capacity, ..size(100) }, Vec::new()));
+        let replica = outcome.replicas[0];
+        assert_eq!((replica.refused, replica.whole_lists, outcome.overdue, outcome.unreached), (0, 0, 0, 0));
+        assert_eq!(replica.lines, continued_call_lines * replica.calls as f64);
+        // Waits are drawn from 10 to 20 s.
+        let mean = outcome.measured.as_secs_f64() * 100.0 / replica.calls as f64;
+        assert!((14.0..16.0).contains(&mean), "a call every {mean} s");
+        assert_all_have_all(&outcome);
+    }
+}
+
+#[test]
+fn a_change_takes_as_long_as_telling_all_nodes_takes() {
+    let capacity =
+        ReplicaCapacity { lines_per_second: 100.0, call_lines: 1.0, continued_call_lines: 0.0, ..CAPACITY };
+    let changes = event(30, 90, EventKind::Changes { per_day: 2_880.0, step: 30 * SECOND });
+    let outcome = play(&quiet(&Size { capacity, ..size(250) }, vec![changes]));
+    // Drained, gone and ready again, half a minute apart: 250 lines each, at 100 a second.
+    assert_eq!((outcome.changes, outcome.latencies.count()), (3, 750));
+    let last = outcome.latencies.quantile(1.0).expect("some");
+    assert!((2_500 * SECOND / 1_000..2_600 * SECOND / 1_000).contains(&last), "{last:?}");
+    assert_all_have_all(&outcome);
+}
+
+#[test]
+fn more_nodes_than_a_replica_can_tell_within_its_limit_are_refused_and_told_later() {
+    let capacity =
+        ReplicaCapacity { lines_per_second: 50.0, call_lines: 1.0, continued_call_lines: 0.0, ..CAPACITY };
+    let changes = event(30, 90, EventKind::Changes { per_day: 2_880.0, step: 30 * SECOND });
+    let outcome = play(&quiet(&Size { capacity, ..size(250) }, vec![changes]));
+    assert!(outcome.replicas[0].refused > 0, "{outcome:?}");
+    assert!(outcome.replicas[0].longest_queue <= 3 * SECOND);
+    assert!(outcome.latencies.quantile(1.0) > Some(5 * SECOND), "five seconds are what telling takes");
+    assert_all_have_all(&outcome);
+}
+
+#[test]
+fn nodes_that_start_at_once_have_lists_no_sooner_than_sending_takes() {
+    let outcome = play(&named("all-start", &size(200)).expect("a scene"));
+    assert_eq!((outcome.launches, outcome.lists.count(), outcome.without_list), (200, 200, 0));
+    // 200 calls of 10 lines and lists of 40, at 1,000 lines a second.
+    assert_eq!(outcome.sending_takes, 10 * SECOND);
+    assert!(outcome.lists.quantile(1.0) >= Some(10 * SECOND), "{outcome:?}");
+    assert!(outcome.replicas[0].refused > 0, "more than three seconds of them come at once");
+    assert_eq!(outcome.replicas[0].whole_lists, 200);
+}
+
+#[test]
+fn a_region_that_is_cut_off_hears_nothing_until_it_is_reconnected_and_then_all() {
+    let several = Size { replicas: 3, mechanism: true, ..size(68) };
+    let changes = event(20, 60, EventKind::Changes { per_day: 20_000.0, step: SECOND });
+    let cut = |region, at| (Duration::from_secs(at), Occurrence::CutOff { region });
+    let back = |region, at| (Duration::from_secs(at), Occurrence::Reconnect { region });
+    let scene = quiet(&several, vec![changes]);
+    let whole = play_several(&scene);
+    assert!(whole.latencies.quantile(1.0) < Some(SECOND), "{whole:?}");
+    // Region 0 has a replica of its own and region 13 has none: both are told no change until it is over.
+    for region in [0, 13] {
+        let outcome = play_several(&scene.clone().with([cut(region, 10), back(region, 110)]));
+        assert!(outcome.latencies.quantile(1.0) > Some(60 * SECOND), "region {region}: {outcome:?}");
+        assert!(outcome.latencies.quantile(0.5) < Some(SECOND), "the others are told as before");
+        assert_all_have_all(&outcome);
+        // Had it lasted to the end, they would never have been.
+        let never = play_several(&scene.clone().with([cut(region, 10)]));
+        assert!(never.never > 0 && never.went_back == 0, "region {region}: {never:?}");
+    }
+}
+
+#[test]
+fn a_replica_that_is_away_is_not_reached_and_a_silent_one_lets_calls_run_out() {
+    let changes = event(20, 60, EventKind::Changes { per_day: 20_000.0, step: SECOND });
+    let away = play(&quiet(&size(50), vec![changes.clone(), event(30, 20, EventKind::DiscoveryAway)]));
+    assert!(away.unreached > 0 && away.overdue == 0, "{away:?}");
+    assert!(away.latencies.quantile(1.0) > Some(15 * SECOND));
+    assert_all_have_all(&away);
+    let silent = EventKind::ReplicaSilent { replica: Some(0) };
+    let silent = play(&quiet(&size(50), vec![changes.clone(), event(30, 40, silent)]));
+    assert!(silent.overdue > 0 && silent.unreached == 0, "{silent:?}");
+    assert_all_have_all(&silent);
+    let lagging = EventKind::ReplicaLagging { replica: Some(0), lag: 7 * SECOND };
+    let lagging = play(&quiet(&size(50), vec![changes, event(0, 120, lagging)]));
+    assert!(lagging.latencies.quantile(0.0) >= Some(7 * SECOND), "{lagging:?}");
+    assert_all_have_all(&lagging);
+}
+
+#[test]
+fn every_scene_is_played_and_one_that_is_not_known_is_named() {
+    for name in names() {
+        let scene = named(name, &size(10)).unwrap_or_else(|error| panic!("{name}: {error}"));
+        assert_eq!((scene.script.name.as_str(), scene.script.nodes), (name, 10));
+        assert!(scene.occurrences.windows(2).all(|pair| pair[0].0 <= pair[1].0), "{name}");
+    }
+    assert!(VIRTUAL_ONLY.iter().all(|(name, _)| names().any(|known| known == *name)));
+    let unknown = named("quake", &size(10)).expect_err("no scene");
+    assert_eq!(unknown.to_string(), "quake: expected the name of a scene or a script's file");
+    let reset = event(1, 1, EventKind::ReplicaReset { replica: None, versions: false });
+    let script = ScaleScript { events: vec![reset], ..quiet(&size(10), Vec::new()).script };
+    assert_eq!(Scene::of_script(script), Err(SceneError::NotPlayed { kind: "replica-reset" }));
+}
+
+/// Whether each replica worked lines through no faster than it can.
+fn within_capacity(sent: &[Sent], capacity: &ReplicaCapacity) -> bool {
+    let mut done: BTreeMap<u32, Duration> = BTreeMap::new();
+    let slack = Duration::from_nanos(10);
+    sent.iter().all(|sent| {
+        let before = done.insert(sent.replica, sent.at).unwrap_or_default();
+        let takes = Duration::from_secs_f64(sent.lines / capacity.lines_per_second);
+        sent.at + slack >= before + takes
+    })
+}
+
+fn trouble() -> impl Strategy<Value = Event> {
+    let step = 1..5_u32;
+    let what = prop_oneof![
+        (1_000.0..100_000.0, step)
+            .prop_map(|(per_day, step)| EventKind::Changes { per_day, step: SECOND * step }),
+        (1_000.0..100_000.0).prop_map(|per_day| EventKind::Restarts { per_day, down: SECOND }),
+        (0..34u32).prop_map(|zone| EventKind::Zone { zone: Some(zone) }),
+        Just(EventKind::ReplicaLost { replica: None }),
+        Just(EventKind::ReplicaSilent { replica: None }),
+        (1..10u32).prop_map(|lag| EventKind::ReplicaLagging { replica: None, lag: SECOND * lag }),
+        Just(EventKind::DiscoveryAway),
+    ];
+    (0..60u64, 1..60u64, what).prop_map(|(at, over, what)| event(at, over, what))
+}
+
+/// A small world in which anything goes wrong, and all is well again in the end.
+fn scene() -> impl Strategy<Value = Scene> {
+    let capacity = (200.0..2_000.0, prop::sample::select(vec![0.0, 1.0, 10.0]), 500..5_000u64);
+    let sizes = (1..80u32, 1..30u32, 1..5u32, any::<u64>());
+    let cuts = prop::collection::vec((0..14u32, 0..60u64, 1..60u64), 0..3);
+    (sizes, capacity, prop::collection::vec(trouble(), 0..6), cuts).prop_map(
+        |(
+            (nodes, servers, replicas, seed),
+            (lines_per_second, continued_call_lines, queue_limit_ms),
+            events,
+            cuts,
+        )| {
+            let capacity =
+                ReplicaCapacity { lines_per_second, call_lines: 10.0, continued_call_lines, queue_limit_ms };
+            let size = Size { nodes, servers, replicas, mechanism: true, capacity, seed };
+            let cuts = cuts.into_iter().flat_map(|(region, at, over)| {
+                let (at, to) = (Duration::from_secs(at), Duration::from_secs(at + over));
+                [(at, Occurrence::CutOff { region }), (to, Occurrence::Reconnect { region })]
+            });
+            quiet(&size, events).with(cuts)
+        },
+    )
+}
+
+/// So many, unless `PROPTEST_CASES` says otherwise.
+fn cases(usual: u32) -> ProptestConfig {
+    let wanted = std::env::var("PROPTEST_CASES").ok().and_then(|text| text.parse().ok());
+    ProptestConfig { cases: wanted.unwrap_or(usual), failure_persistence: None, ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(cases(64))]
+
+    #[test]
+    fn versions_never_go_back_and_all_nodes_have_all_changes_in_the_end(scene in scene()) {
+        let outcome = play_several(&scene);
+        prop_assert_eq!((outcome.went_back, outcome.never, outcome.without_list), (0, 0, 0), "{:?}", outcome);
+    }
+
+    #[test]
+    fn a_replica_never_sends_more_than_its_capacity_and_no_call_waits_beyond_its_limit(scene in scene()) {
+        let capacity = scene.script.capacity;
+        let (outcome, sent) = play_traced(&scene);
+        prop_assert!(within_capacity(&sent, &capacity));
+        let limit = Duration::from_millis(capacity.queue_limit_ms);
+        prop_assert!(outcome.replicas.iter().all(|replica| replica.longest_queue <= limit), "{:?}", outcome);
+        let lines: f64 = sent.iter().map(|sent| sent.lines).sum();
+        prop_assert!(outcome.total(|replica| replica.lines) <= lines + 1e-6);
+    }
+
+    #[test]
+    fn the_same_seed_gives_the_same_result(scene in scene()) {
+        prop_assert_eq!(play_several(&scene), play_several(&scene));
+    }
+}
