Play the real clients of discovery's replicas in virtual time

The player's client was that of one address. It is now decide's DiscoveryClient and Membership, as the node has them, with one replica and no stated capacity where the mechanism is off.

--- a/crates/rig/src/scale/virtual_time/client.rs
+++ b/crates/rig/src/scale/virtual_time/client.rs
@@ -1,11 +1,16 @@
 //! What decides for a node which replica it asks, for what, for how long, and how soon again.
 
 use super::scene::Scene;
-use decide::asking::{Asking, Call, End, Terms};
-use decide::membership::{Listed, Membership};
-use decide::Availability;
+use decide::asking::{Call, End, Pace, Terms};
+use decide::discovery_client::{CallEnd as EndOfCall, DiscoveryClient, Jitter};
+use decide::membership::{Listed, Membership, Teller};
+use decide::replicas::{Capacity, Replicas};
+use decide::{Availability, Timestamp};
 use std::time::Duration;
 
+/// A connection that does not come up is given up after this time: to a discovery that has no replicas, and to one of several.
+const CONNECT: Duration = Duration::from_secs(2);
+const CONNECT_TO_REPLICA: Duration = Duration::from_secs(1);
 /// For how long a list is good, and how long a server may be sent to after it left it: as nodes are told on the platform.
 const ASK_WITHIN: Duration = Duration::from_secs(10);
 const DRAIN_GRACE: Duration = Duration::from_millis(500);
@@ -21,6 +26,8 @@
     pub wait: Duration,
     /// The node gives the call up after this time.
     pub limit: Duration,
+    /// And after this time, where no connection comes up.
+    pub connect: Duration,
 }
 
 /// A list, or changes of one, as the client has read it.
@@ -51,7 +58,12 @@
         /// In this time.
         took: Duration,
     },
-    /// It was refused, or its connection was reset.
+    /// The replica has too much to do, and said so.
+    Refused {
+        /// So long after the call.
+        took: Duration,
+    },
+    /// Its connection was reset.
     Failed,
 }
 
@@ -73,53 +85,98 @@
     fn ended(&mut self, now: Duration, end: CallEnd, draw: &mut dyn FnMut() -> f64) -> Next;
 }
 
-/// A client that knows one address: the real decisions of today.
-pub struct OneAddress {
+/// The real decisions: of a client that knows one address, or several replicas and what each can do.
+pub struct ReplicasClient {
     terms: Terms,
-    asking: Asking,
+    capacity: Option<Capacity>,
+    names: Vec<String>,
+    client: DiscoveryClient,
     membership: Membership,
     call: Call,
 }
 
-impl OneAddress {
-    /// Of a node that holds this version and knows these ready servers, or that holds nothing.
-    pub fn new(terms: Terms, version: Option<u64>, ready: impl IntoIterator<Item = String>) -> Self {
-        let call = Call { wait: Duration::ZERO, limit: Duration::ZERO };
-        Self { terms, asking: Asking::default(), membership: Membership::new(version, ready), call }
+impl ReplicasClient {
+    /// Of a node that has not called yet.
+    pub fn new(start: &ClientStart) -> Self {
+        let script = &start.scene.script;
+        let names: Vec<_> = (0..script.known_replicas()).map(replica_name).collect();
+        let stated = Capacity {
+            lines_per_second: script.capacity.lines_per_second,
+            call_lines: script.capacity.call_lines,
+        };
+        let version = start.list.map(|(version, _)| version);
+        let ready = start.list.iter().flat_map(|(_, ready)| ready.iter().cloned());
+        Self {
+            terms: start.terms(),
+            capacity: script.mechanism.then_some(stated),
+            client: DiscoveryClient::new(Replicas::new(&start.name(), names.clone())),
+            names,
+            membership: Membership::new(version, ready),
+            call: Call { wait: Duration::ZERO, limit: Duration::ZERO },
+        }
     }
 
     fn asks_for_changes(&self) -> bool {
         self.membership.asks_after().is_some()
     }
+
+    fn pace(&self) -> Pace {
+        let held = u32::try_from(self.membership.ready_count()).unwrap_or(u32::MAX);
+        let list_lines = Some(held).filter(|lines| *lines > 0);
+        Pace::of(self.terms, self.client.replicas().serving(), self.capacity, list_lines)
+    }
+
+    /// Whether a list is taken.
+    fn takes(&mut self, listing: &Listing) -> bool {
+        let place = self.client.replicas().current();
+        let replica = self.names.get(place).map_or("", String::as_str);
+        let teller = Teller { replica, replicas: self.names.len() };
+        self.membership.judge_from(teller, listing.version, listing.whole, &listing.entries).is_ok()
+    }
+
+    fn end(&mut self, end: CallEnd) -> (EndOfCall, Option<u64>) {
+        let other = EndOfCall::Other;
+        match end {
+            CallEnd::Answered { took, listing } if self.takes(&listing) => {
+                let news = !listing.entries.is_empty();
+                (other(End::Answered { took, news }), Some(listing.version))
+            }
+            CallEnd::Answered { .. } | CallEnd::Failed => (other(End::Failed), None),
+            CallEnd::Refused { took } => (EndOfCall::Refused { took }, None),
+            CallEnd::Overdue => (other(End::Overdue), None),
+            CallEnd::Unreached { took } => (other(End::Unreached { took }), None),
+        }
+    }
 }
 
-impl ClientDecisions for OneAddress {
+impl ClientDecisions for ReplicasClient {
     fn next_call(&mut self, _now: Duration, draw: &mut dyn FnMut() -> f64) -> NextCall {
-        self.call = self.asking.call(self.terms, self.asks_for_changes(), draw());
+        self.call = self.client.call(self.pace(), self.asks_for_changes(), draw());
         let Call { wait, limit } = self.call;
-        NextCall { replica: 0, after: self.membership.asks_after(), wait, limit }
+        NextCall {
+            replica: self.client.replicas().current() as u32,
+            after: self.membership.asks_after(),
+            wait,
+            limit,
+            connect: if self.names.len() > 1 { CONNECT_TO_REPLICA } else { CONNECT },
+        }
     }
 
-    fn ended(&mut self, _now: Duration, end: CallEnd, draw: &mut dyn FnMut() -> f64) -> Next {
-        let (end, applied) = match end {
-            CallEnd::Answered { took, listing } => {
-                let judged = self.membership.judge(listing.version, listing.whole, &listing.entries);
-                let news = !listing.entries.is_empty();
-                match judged {
-                    Ok(_) => (End::Answered { took, news }, Some(listing.version)),
-                    Err(_) => (End::Failed, None),
-                }
-            }
-            CallEnd::Overdue => (End::Overdue, None),
-            CallEnd::Unreached { took } => (End::Unreached { took }, None),
-            CallEnd::Failed => (End::Failed, None),
-        };
-        let for_changes = self.asks_for_changes();
-        let pause = self.asking.ended(self.terms, self.call, end, for_changes, draw());
-        Next { pause, applied }
+    fn ended(&mut self, now: Duration, end: CallEnd, draw: &mut dyn FnMut() -> f64) -> Next {
+        let (end, applied) = self.end(end);
+        let now = Timestamp::from_micros(now.as_micros() as u64);
+        let jitter = Jitter { hold_down: draw(), pause: draw() };
+        let (pace, for_changes) = (self.pace(), self.asks_for_changes());
+        let next = self.client.ended(now, pace, self.call, end, for_changes, jitter);
+        Next { pause: next.pause, applied }
     }
 }
 
+/// What nodes call a replica.
+fn replica_name(replica: u32) -> String {
+    format!("10.0.0.{}:7100", replica + 1)
+}
+
 /// An entry as the client reads it: every server of a scene has an address.
 pub fn listed(name: &str, state: Availability) -> Listed<'_> {
     Listed { name, state, has_address: true }
@@ -148,10 +205,8 @@
         Terms { nodes, within: ASK_WITHIN, grace: DRAIN_GRACE, asked: true }
     }
 
-    /// The decisions of a client that knows one address.
-    pub fn one_address(&self) -> Box<dyn ClientDecisions> {
-        let version = self.list.map(|(version, _)| version);
-        let ready = self.list.iter().flat_map(|(_, ready)| ready.iter().cloned());
-        Box::new(OneAddress::new(self.terms(), version, ready))
+    /// The real decisions.
+    pub fn client(&self) -> Box<dyn ClientDecisions> {
+        Box::new(ReplicasClient::new(self))
     }
 }
--- a/crates/rig/src/scale/virtual_time/mod.rs
+++ b/crates/rig/src/scale/virtual_time/mod.rs
@@ -2,9 +2,10 @@
 //! one queue each. No sockets and no wall clock: the same scene and seed give the same bytes.
 //!
 //! What is played is what a node does beside serving: it asks, waits, takes lists, fails and asks again. Connections cost
-//! nothing but their way; messages are whole. Clients of today know one address ([`client::OneAddress`]).
+//! nothing but their way; messages are whole.
 //!
 //! - [`Scene`] says what the world is and what happens; [`scenes`] makes those that are played by name.
+//! - [`client`] holds the decisions of one node.
 //! - [`player`] plays one; [`replica`] is the queue, the list and the watches of one replica.
 //! - [`Outcome`] is what came of it; [`table`] shows several side by side.
 
--- a/crates/rig/src/scale/virtual_time/nodes.rs
+++ b/crates/rig/src/scale/virtual_time/nodes.rs
@@ -20,6 +20,7 @@
 pub(super) enum Came {
     Answer(Rc<Answer>),
     Unreached,
+    Refused,
     Failed,
 }
 
--- a/crates/rig/src/scale/virtual_time/player.rs
+++ b/crates/rig/src/scale/virtual_time/player.rs
@@ -1,7 +1,7 @@
 //! Plays a scene: nodes, the ways between them and replicas, and what happens.
 
 use super::agenda::{Agenda, CallId, Due};
-use super::client::{listed, CallEnd, ClientDecisions, ClientStart, Listing, Next};
+use super::client::{listed, CallEnd, ClientDecisions, ClientStart, Listing, Next, NextCall};
 use super::measure::{Outcome, ReplicaOutcome, Sent};
 use super::nodes::{Call, Came, Link, Node};
 use super::replica::{Answer, Replica};
@@ -15,8 +15,6 @@
 
 /// A message's way between a node and a replica.
 const WAY: Duration = Duration::from_millis(5);
-/// A connection that does not come up is given up after this time.
-const CONNECT: Duration = Duration::from_secs(2);
 /// A watch goes on if the next call comes within this time of the last answer. Of the protocol.
 const CONTINUED_WITHIN: Duration = Duration::from_millis(200);
 /// Nodes that run from the beginning make their first calls spread over this time, as a fleet does that has run for long.
@@ -24,12 +22,12 @@
 
 /// Plays a scene with the real decisions.
 pub fn play(scene: &Scene) -> Outcome {
-    play_with(scene, &mut |start| start.one_address())
+    play_with(scene, &mut |start| start.client())
 }
 
 /// Plays a scene with the real decisions and tells all lines that replicas worked through.
 pub fn play_traced(scene: &Scene) -> (Outcome, Vec<Sent>) {
-    let mut make = |start: ClientStart| start.one_address();
+    let mut make = |start: ClientStart| start.client();
     let player = Player { traced: true, ..Player::new(scene, &mut make) };
     player.play()
 }
@@ -296,20 +294,22 @@
         let id = CallId { node, number: state.calls };
         state.call =
             Some(Call { number: id.number, asked, began: now, lost: false, answer: None, came: None });
-        let linked = state.link.is_some_and(|link| link.replica == asked.replica);
+        let linked =
+            state.link.take_if(|link| link.replica != asked.replica).is_none() && state.link.is_some();
         self.agenda.put(now + asked.limit, Due::GiveUp(id));
-        self.set_out(id, asked.replica, linked);
+        self.set_out(id, asked, linked);
     }
 
     /// Sends a call out, on the connection that there is or on a new one.
-    fn set_out(&mut self, id: CallId, replica: u32, linked: bool) {
+    fn set_out(&mut self, id: CallId, asked: NextCall, linked: bool) {
+        let replica = asked.replica;
         let passes = self.passes(id.node, replica);
         let away = self.replicas[replica as usize].answering == Answering::Away;
         match (linked, passes) {
             (true, true) => self.agenda.put(self.now + WAY, Due::Arrive(id)),
             // The connection seems to be there, and nothing passes.
             (true, false) => {}
-            (false, false) => self.end_with(id.node, Came::Unreached, CONNECT),
+            (false, false) => self.end_with(id.node, Came::Unreached, asked.connect),
             (false, true) if away => self.end_with(id.node, Came::Unreached, WAY * 2),
             (false, true) => {
                 self.nodes[id.node as usize].link = Some(Link { replica, watch_answered: None });
@@ -363,7 +363,7 @@
             }
             Err(_) => {
                 self.counts[replica as usize].refused += 1;
-                self.end_with(id.node, Came::Failed, WAY);
+                self.end_with(id.node, Came::Refused, WAY);
             }
         }
     }
@@ -443,6 +443,7 @@
                 self.outcome.unreached += 1;
                 self.failed(id.node, CallEnd::Unreached { took });
             }
+            Some(Came::Refused) => self.failed(id.node, CallEnd::Refused { took }),
             Some(Came::Failed) | None => self.failed(id.node, CallEnd::Failed),
         }
     }
--- a/crates/rig/tests/control_plane.rs
+++ b/crates/rig/tests/control_plane.rs
@@ -3,10 +3,9 @@
 use proptest::prelude::*;
 use rig::scale::messages::ReplicaCapacity;
 use rig::scale::script::{Event, EventKind, ScaleScript};
-use rig::scale::virtual_time::client::{CallEnd, ClientDecisions, ClientStart, Next, NextCall};
 use rig::scale::virtual_time::replica::{LineQueue, QueueFull};
 use rig::scale::virtual_time::scenes::{named, names, Size, VIRTUAL_ONLY};
-use rig::scale::virtual_time::{play, play_traced, play_with, Occurrence, Outcome, Scene, SceneError, Sent};
+use rig::scale::virtual_time::{play, play_traced, Occurrence, Outcome, Scene, SceneError, Sent};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -33,29 +32,6 @@
     Event { at: Duration::from_secs(at), over: Duration::from_secs(over), what }
 }
 
-/// A client that knows several replicas and always asks the one that its number picks: enough to play several.
-struct OneOfSeveral {
-    one: Box<dyn ClientDecisions>,
-    replica: u32,
-}
-
-impl ClientDecisions for OneOfSeveral {
-    fn next_call(&mut self, now: Duration, draw: &mut dyn FnMut() -> f64) -> NextCall {
-        NextCall { replica: self.replica, ..self.one.next_call(now, draw) }
-    }
-
-    fn ended(&mut self, now: Duration, end: CallEnd, draw: &mut dyn FnMut() -> f64) -> Next {
-        self.one.ended(now, end, draw)
-    }
-}
-
-fn play_several(scene: &Scene) -> Outcome {
-    let replicas = scene.script.known_replicas();
-    play_with(scene, &mut |start: ClientStart| {
-        Box::new(OneOfSeveral { one: start.one_address(), replica: start.node % replicas })
-    })
-}
-
 fn assert_all_have_all(outcome: &Outcome) {
     assert_eq!((outcome.never, outcome.without_list, outcome.went_back), (0, 0, 0), "{outcome:?}");
 }
@@ -128,16 +104,16 @@
     let cut = |region, at| (Duration::from_secs(at), Occurrence::CutOff { region });
     let back = |region, at| (Duration::from_secs(at), Occurrence::Reconnect { region });
     let scene = quiet(&several, vec![changes]);
-    let whole = play_several(&scene);
+    let whole = play(&scene);
     assert!(whole.latencies.quantile(1.0) < Some(SECOND), "{whole:?}");
     // Region 0 has a replica of its own and region 13 has none: both are told no change until it is over.
     for region in [0, 13] {
-        let outcome = play_several(&scene.clone().with([cut(region, 10), back(region, 110)]));
+        let outcome = play(&scene.clone().with([cut(region, 10), back(region, 110)]));
         assert!(outcome.latencies.quantile(1.0) > Some(60 * SECOND), "region {region}: {outcome:?}");
         assert!(outcome.latencies.quantile(0.5) < Some(SECOND), "the others are told as before");
         assert_all_have_all(&outcome);
         // Had it lasted to the end, they would never have been.
-        let never = play_several(&scene.clone().with([cut(region, 10)]));
+        let never = play(&scene.clone().with([cut(region, 10)]));
         assert!(never.never > 0 && never.went_back == 0, "region {region}: {never:?}");
     }
 }
@@ -235,7 +211,7 @@
 
     #[test]
     fn versions_never_go_back_and_all_nodes_have_all_changes_in_the_end(scene in scene()) {
-        let outcome = play_several(&scene);
+        let outcome = play(&scene);
         prop_assert_eq!((outcome.went_back, outcome.never, outcome.without_list), (0, 0, 0), "{:?}", outcome);
     }
 
@@ -252,6 +228,6 @@
 
     #[test]
     fn the_same_seed_gives_the_same_result(scene in scene()) {
-        prop_assert_eq!(play_several(&scene), play_several(&scene));
+        prop_assert_eq!(play(&scene), play(&scene));
     }
 }
