--- a/crates/rig/src/scale/processes.rs
+++ b/crates/rig/src/scale/children.rs
@@ -16,7 +16,7 @@
 
 /// A process that does not take a command within this time is stuck.
 const TAKES_COMMAND: Duration = Duration::from_secs(60);
-/// After [`Processes::stop`], those that have not ended within this time are killed.
+/// After [`Children::stop`], those that have not ended within this time are killed.
 const ENDS: Duration = Duration::from_secs(5);
 /// The longest line that a process may write.
 const LONGEST_LINE: u64 = 256 << 20;
@@ -108,20 +108,20 @@
 
 /// The processes of a run. Dropped, all of them are killed.
 #[derive(Debug)]
-pub struct Processes {
+pub struct Children {
     running: Vec<Running>,
     sender: UnboundedSender<Result<Heard, ChildError>>,
     heard: UnboundedReceiver<Result<Heard, ChildError>>,
 }
 
-impl Default for Processes {
+impl Default for Children {
     fn default() -> Self {
         let (sender, heard) = unbounded_channel();
         Self { running: Vec::new(), sender, heard }
     }
 }
 
-impl Processes {
+impl Children {
     /// Starts a process of `program`, which acts as `who` and then waits for its first command.
     ///
     /// # Errors
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -6,12 +6,15 @@
 //!
 //! - [`ScaleScript`] is read from TOML; [`scenarios`] has those that ship. [`events`] draws its steps.
 //! - [`needs`] compares what a run takes with what the machine has, before anything starts.
-//! - [`run`](run::run) starts the [`processes`], carries the steps out and [measures](measure).
+//! - [`run`](run::run) starts the [`children`], carries the steps out and [measures](measure);
+//!   [`replica_set`] knows what each replica is told, and [`beside`] passes on to [`real`] nodes what happens.
 //! - [`acts`] knows when which node acted on what; [`report`] shows it, and [`plot`] draws it.
 //! - [`fit`] lays lines through the figures of several sizes.
 //! - [`virtual_time`] plays clients of discovery alone, at any size, without sockets and clock.
 
 pub mod acts;
+pub mod beside;
+pub mod children;
 pub mod events;
 pub mod fit;
 pub mod measure;
@@ -19,9 +22,9 @@
 pub mod needs;
 pub mod plot;
 pub mod process;
-pub mod processes;
+pub mod real;
 pub mod replica;
-pub mod replicas;
+pub mod replica_set;
 pub mod report;
 pub mod run;
 pub mod scenarios;
--- a/crates/rig/src/scale/run.rs
+++ b/crates/rig/src/scale/run.rs
@@ -1,12 +1,16 @@
 //! One scale run: starts the processes, carries the steps out at their times, and takes the measurements.
 
 use super::acts::Acts;
-use super::events::{plan, servers_at_start, Planned, Step};
+use super::beside::Beside;
+use super::children::{ChildError, Children, Heard, Who};
+use super::events::{plan, Planned, Step};
 use super::measure::{cost_of, Cost};
-use super::messages::{Answering, HollowCommand, HollowEvent, ReplicaCommand, ReplicaEvent, ReplicaReport};
+use super::messages::{
+    HollowCommand, HollowEvent, ListedServer, ReplicaCommand, ReplicaEvent, ReplicaReport,
+};
 use super::needs::{Limits, LimitsError, NeedFault, Needs};
-use super::processes::{ChildError, Heard, Processes, Who};
-use super::replicas::{ReplicaSet, Told};
+use super::real::RealError;
+use super::replica_set::{ReplicaSet, Told};
 use super::report::{largest_over_mean, ScaleReport, WindowFigures, VERSION};
 use super::script::ScaleScript;
 use super::snapshot::{Snapshot, Window};
@@ -45,6 +49,9 @@
     /// A process failed.
     #[error(transparent)]
     Child(#[from] ChildError),
+    /// A real node, or what it uses, failed.
+    #[error("real nodes: {0}")]
+    Real(#[from] RealError),
     /// What a process costs could not be read.
     #[error("what process {process} costs can't be read: {source}")]
     Cost {
@@ -86,7 +93,7 @@
     pub length: Duration,
     /// Changes of the list so far.
     pub changes: usize,
-    /// Nodes that did not hold the newest list when they were asked last.
+    /// Nodes that did not hold the list of the time at which they were asked last.
     pub behind: usize,
 }
 
@@ -119,9 +126,11 @@
     program: &Path,
     progress: impl FnMut(&Progress),
 ) -> Result<ScaleReport, RunError> {
-    let steps = plan(script);
-    let mut run = Run::new(script, progress);
-    run.start(program).await?;
+    let beside = Beside::start_servers(script).await?;
+    let servers = beside.servers(script);
+    let steps = plan(script, &servers);
+    let mut run = Run::new(script, &servers, beside, progress);
+    run.start(program, &servers).await?;
     run.phase(Phase::Settling, script.settle);
     run.wait_until(Instant::now() + script.settle).await?;
     run.phase(Phase::Measuring, script.length);
@@ -143,13 +152,15 @@
     }
     let last = run.snapshot().await?;
     let report = run.report(&first, &rest, &last, (!steps.is_empty()).then_some(events_from_us));
-    run.processes.stop().await;
-    Ok(report)
+    let real = run.beside.finish(unix_us()).await;
+    run.children.stop().await;
+    Ok(ScaleReport { real, ..report })
 }
 
 struct Run<'a, P> {
     script: &'a ScaleScript,
-    processes: Processes,
+    children: Children,
+    beside: Beside,
     replicas: ReplicaSet,
     addresses: Vec<SocketAddr>,
     acts: Acts,
@@ -158,6 +169,9 @@
     hollow_started: usize,
     /// Reports of hollow processes that are still to come.
     hollow_awaited: usize,
+    /// The list's version when they were asked for.
+    asked_at_version: u64,
+    behind: usize,
     failed_calls: u64,
     next_poll: Option<Instant>,
     most_late: Duration,
@@ -168,17 +182,20 @@
 }
 
 impl<'a, P: FnMut(&Progress)> Run<'a, P> {
-    fn new(script: &'a ScaleScript, progress: P) -> Self {
+    fn new(script: &'a ScaleScript, servers: &[ListedServer], beside: Beside, progress: P) -> Self {
         let replicas = script.running_replicas();
         Self {
             script,
-            processes: Processes::default(),
-            replicas: ReplicaSet::new(replicas, FIRST_VERSION, &servers_at_start(script)),
+            children: Children::default(),
+            beside,
+            replicas: ReplicaSet::new(replicas, FIRST_VERSION, servers),
             addresses: Vec::new(),
             acts: Acts::new(script.nodes, unix_us(), FIRST_VERSION),
             reports: vec![None; replicas as usize],
             hollow_started: 0,
             hollow_awaited: 0,
+            asked_at_version: FIRST_VERSION,
+            behind: 0,
             failed_calls: 0,
             next_poll: None,
             most_late: Duration::ZERO,
@@ -193,36 +210,37 @@
         (self.phase, self.phase_began, self.phase_length) = (phase, Instant::now(), length);
     }
 
-    /// Starts replicas, then hollow nodes.
-    async fn start(&mut self, program: &Path) -> Result<(), RunError> {
-        let servers = servers_at_start(self.script);
+    /// Starts replicas, then real nodes, then hollow ones.
+    async fn start(&mut self, program: &Path, servers: &[ListedServer]) -> Result<(), RunError> {
         for number in 0..self.reports.len() {
-            self.processes.start(program, Who::Replica(number))?;
+            self.children.start(program, Who::Replica(number))?;
             let command = ReplicaCommand::Start {
                 listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
                 capacity: self.script.capacity,
                 version: FIRST_VERSION,
-                servers: servers.clone(),
+                servers: servers.to_vec(),
             };
-            self.processes.tell_replica(number, &command).await?;
+            self.children.tell_replica(number, &command).await?;
             // In their order, so that addresses are by number.
             self.hear_until(STARTS, Who::Replica(number), |run| run.addresses.len() > number).await?;
         }
+        let known = self.known(self.script.known_replicas());
+        self.beside.start_nodes(self.script, program, known.clone()).await?;
         let mut first = 0;
         for (number, count) in self.shares().into_iter().enumerate() {
-            self.processes.start(program, Who::Hollow(number))?;
+            self.children.start(program, Who::Hollow(number))?;
             let command = HollowCommand::Start {
                 first,
                 count,
                 fleet: self.script.nodes,
-                replicas: self.known(self.script.known_replicas()),
+                replicas: known.clone(),
                 capacity: self.script.mechanism.then_some(self.script.capacity),
                 version: Some(FIRST_VERSION),
-                servers: servers.clone(),
+                servers: servers.to_vec(),
                 seed: self.script.seed,
                 zones: (0..self.script.zones).map(|zone| self.script.zone_name(zone)).collect(),
             };
-            self.processes.tell_hollow(number, &command).await?;
+            self.children.tell_hollow(number, &command).await?;
             first += count;
         }
         let processes = self.shares().len();
@@ -263,13 +281,14 @@
                 if *starts {
                     server.born_ms = now_us / 1_000;
                 }
+                self.beside.changed(&server, now_us)?;
                 let told = self.replicas.change(server, Instant::now());
                 self.acts.changed(self.replicas.version(), now_us);
                 self.tell(told).await
             }
             Step::Kill(nodes) => {
                 for (process, nodes) in self.by_process(nodes) {
-                    self.processes.tell_hollow(process, &HollowCommand::Kill { nodes }).await?;
+                    self.children.tell_hollow(process, &HollowCommand::Kill { nodes }).await?;
                 }
                 self.acts.killed(nodes, unix_us());
                 Ok(())
@@ -277,11 +296,18 @@
             Step::Launch(nodes) => {
                 self.acts.launched(nodes, unix_us(), self.sending_ms(nodes.len()));
                 for (process, nodes) in self.by_process(nodes) {
-                    self.processes.tell_hollow(process, &HollowCommand::Launch { nodes }).await?;
+                    self.children.tell_hollow(process, &HollowCommand::Launch { nodes }).await?;
+                }
+                Ok(())
+            }
+            Step::Answer { replicas, answering } => {
+                self.beside.answers(replicas, *answering, unix_us());
+                for &replica in replicas {
+                    let command = ReplicaCommand::Answer { answering: *answering };
+                    self.children.tell_replica(replica as usize, &command).await?;
                 }
                 Ok(())
             }
-            Step::Answer { replicas, answering } => self.answer(replicas, *answering).await,
             Step::Lag { replica, by } => {
                 let told = self.replicas.lag(*replica as usize, *by);
                 self.tell(told).await
@@ -297,23 +323,16 @@
             Step::ReplicaSet(replicas) => {
                 let command = HollowCommand::Replicas { replicas: self.known(*replicas) };
                 for process in 0..self.shares().len() {
-                    self.processes.tell_hollow(process, &command).await?;
+                    self.children.tell_hollow(process, &command).await?;
                 }
                 Ok(())
             }
         }
     }
 
-    async fn answer(&mut self, replicas: &[u32], answering: Answering) -> Result<(), RunError> {
-        for &replica in replicas {
-            self.processes.tell_replica(replica as usize, &ReplicaCommand::Answer { answering }).await?;
-        }
-        Ok(())
-    }
-
     async fn tell(&mut self, told: Vec<Told>) -> Result<(), RunError> {
         for (replica, command) in told {
-            self.processes.tell_replica(replica, &command).await?;
+            self.children.tell_replica(replica, &command).await?;
         }
         Ok(())
     }
@@ -345,7 +364,7 @@
             }
             let due = self.replicas.next_due().map_or(until, |due| due.min(until)).min(next_tell);
             tokio::select! {
-                heard = self.processes.heard() => self.take_in(heard?),
+                heard = self.children.heard() => self.take_in(heard?),
                 () = sleep_until(due) => {}
             }
         }
@@ -358,7 +377,7 @@
         loop {
             self.ask_hollow().await?;
             self.hear_until(REPORTS, Who::Hollow(0), |run| run.hollow_awaited == 0).await?;
-            if self.acts.behind() == 0 || Instant::now() >= until {
+            if self.behind == 0 || Instant::now() >= until {
                 return Ok(());
             }
             self.wait_until((Instant::now() + CATCH_UP_POLL).min(until)).await?;
@@ -366,8 +385,9 @@
     }
 
     async fn ask_hollow(&mut self) -> Result<(), RunError> {
+        self.asked_at_version = self.replicas.version();
         for process in 0..self.shares().len() {
-            self.processes.tell_hollow(process, &HollowCommand::Report).await?;
+            self.children.tell_hollow(process, &HollowCommand::Report).await?;
             self.hollow_awaited += 1;
         }
         Ok(())
@@ -383,7 +403,7 @@
         let until = Instant::now() + patience;
         while !done(self) {
             let left = until.saturating_duration_since(Instant::now());
-            match timeout(left, self.processes.heard()).await {
+            match timeout(left, self.children.heard()).await {
                 Ok(heard) => self.take_in(heard?),
                 Err(_) => return Err(ChildError::Silent { who, waited: patience }.into()),
             }
@@ -400,6 +420,9 @@
                 self.hollow_awaited = self.hollow_awaited.saturating_sub(1);
                 self.failed_calls += report.failed_calls;
                 report.applied.into_iter().for_each(|applied| self.acts.applied(applied));
+                if self.hollow_awaited == 0 {
+                    self.behind = self.acts.behind(self.asked_at_version);
+                }
             }
         }
     }
@@ -410,7 +433,7 @@
             elapsed: self.phase_began.elapsed(),
             length: self.phase_length,
             changes: self.acts.changes(),
-            behind: self.acts.behind(),
+            behind: self.behind,
         };
         (self.progress)(&progress);
     }
@@ -418,14 +441,15 @@
     /// Has all processes report, and reads what they cost.
     async fn snapshot(&mut self) -> Result<Snapshot, RunError> {
         let at = std::time::Instant::now();
-        let hollow = cost(&self.processes.ids(|who| matches!(who, Who::Hollow(_))))?;
-        let replicas = cost(&self.processes.ids(|who| matches!(who, Who::Replica(_))))?;
+        let hollow = cost(&self.children.ids(|who| matches!(who, Who::Hollow(_))))?;
+        let replicas = cost(&self.children.ids(|who| matches!(who, Who::Replica(_))))?;
         let run = cost(&[std::process::id()])?;
+        let real = self.beside.cost();
         self.hear_until(REPORTS, Who::Hollow(0), |run| run.hollow_awaited == 0).await?;
         self.ask_hollow().await?;
         for number in 0..self.reports.len() {
             self.reports[number] = None;
-            self.processes.tell_replica(number, &ReplicaCommand::Report).await?;
+            self.children.tell_replica(number, &ReplicaCommand::Report).await?;
         }
         for number in 0..self.reports.len() {
             self.hear_until(REPORTS, Who::Replica(number), |run| run.reports[number].is_some()).await?;
@@ -434,7 +458,7 @@
         // From the first snapshot on, nodes are polled.
         self.next_poll.get_or_insert(Instant::now() + POLL);
         let reports = self.reports.iter().map(|report| report.unwrap_or_default()).collect();
-        Ok(Snapshot { at, hollow, replicas, run, reports, failed_calls: self.failed_calls })
+        Ok(Snapshot { at, hollow, replicas, run, real, reports, failed_calls: self.failed_calls })
     }
 
     fn report(
@@ -445,7 +469,8 @@
         events_from_us: Option<u64>,
     ) -> ScaleReport {
         let script = self.script;
-        let figures = |window: &Window| WindowFigures::new(window, script.nodes, script.servers);
+        let figures =
+            |window: &Window| WindowFigures::new(window, script.nodes, script.real.nodes, script.servers);
         let at_rest = figures(&rest.since(first));
         let active = events_from_us.map(|_| figures(&last.since(rest)));
         let above_rest_us = active.map_or(0.0, |active| {
@@ -460,6 +485,7 @@
             name: script.name.clone(),
             seed: script.seed,
             nodes: script.nodes,
+            real_nodes: script.real.nodes,
             servers: script.servers,
             hollow_processes: self.shares().len() as u32,
             replicas: script.running_replicas(),
