--- a/crates/node/src/scale.rs
+++ b/crates/node/src/scale.rs
@@ -1,10 +1,13 @@
 //! `pinhead scale`: hundreds of hollow nodes in each of a few processes, against discovery by replicas.
 
+mod virtual_time;
+
 use checked_toml::{time_text, Fault};
 use clap::{Args, Subcommand, ValueEnum};
 use rig::scale::fit::{self, Fit};
 use rig::scale::run::{self, Phase, Progress};
 use rig::scale::script::{HOLLOW_PROCESSES, NODES, REAL_NODES, REPLICAS, SERVERS};
+use rig::scale::virtual_time::scenes::VIRTUAL_ONLY;
 use rig::scale::{plot, scenarios, ScaleReport, ScaleScript};
 use std::io::{IsTerminal, Write};
 use std::ops::RangeInclusive;
@@ -14,6 +17,8 @@
 
 /// A script or result that can't be used, or a run that came to nothing; one that misses what it expects ends with 1.
 const UNUSABLE: u8 = 2;
+const LINES_PER_SECOND: RangeInclusive<u64> = 1..=1_000_000_000;
+const CALL_LINES: RangeInclusive<u64> = 0..=1_000_000;
 /// Where standard error is no terminal, a line of progress comes this often.
 const PROGRESS_LINES: Duration = Duration::from_secs(5);
 
@@ -46,9 +51,21 @@
     /// Real nodes under load beside the hollow ones, rather than the script's own number
     #[arg(long, value_parser = within(&REAL_NODES))]
     real: Option<u32>,
+    /// Lines that one replica sends in a second, rather than the script's own number
+    #[arg(long, value_parser = within(&LINES_PER_SECOND))]
+    lines_per_second: Option<u32>,
+    /// Lines that a call costs which opens a watch or asks for the whole list, rather than the script's own number
+    #[arg(long, value_parser = within(&CALL_LINES))]
+    call_lines: Option<u32>,
+    /// Lines that a call costs which continues a watch, rather than the script's own number
+    #[arg(long, value_parser = within(&CALL_LINES))]
+    continued_call_lines: Option<u32>,
     /// Draws everything anew from this seed, rather than from the script's own
     #[arg(long)]
     seed: Option<u64>,
+    /// Who plays: this program's processes on `sockets`, or clients of discovery alone in `virtual` time
+    #[arg(long, value_enum, default_value_t = Player::Sockets)]
+    player: Player,
     /// Whether nodes know all replicas and what each can do, or the first one's address only
     #[arg(long, value_enum)]
     mechanism: Option<Mechanism>,
@@ -66,6 +83,12 @@
     Off,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum Player {
+    Sockets,
+    Virtual,
+}
+
 #[derive(Debug, Subcommand)]
 enum Command {
     /// Lists the scripts that ship with the program
@@ -116,6 +139,9 @@
             println!("{:<20} {}", script.name, script.about);
         }
     }
+    for (name, about) in VIRTUAL_ONLY {
+        println!("{name:<20} {about} (in virtual time only)");
+    }
     ExitCode::SUCCESS
 }
 
@@ -131,8 +157,8 @@
     ExitCode::SUCCESS
 }
 
-fn measure(arguments: &Run) -> ExitCode {
-    let Some(mut script) = script(&arguments.script) else { return ExitCode::from(UNUSABLE) };
+/// The script with what the arguments say instead.
+fn overridden(mut script: ScaleScript, arguments: &Run) -> ScaleScript {
     script.nodes = arguments.nodes.unwrap_or(script.nodes);
     script.servers = arguments.servers.unwrap_or(script.servers);
     script.replicas = arguments.replicas.unwrap_or(script.replicas);
@@ -140,6 +166,20 @@
     script.real.nodes = arguments.real.unwrap_or(script.real.nodes);
     script.seed = arguments.seed.unwrap_or(script.seed);
     script.mechanism = arguments.mechanism.map_or(script.mechanism, |mechanism| mechanism == Mechanism::On);
+    let capacity = &mut script.capacity;
+    let or = |lines: Option<u32>, own: f64| lines.map_or(own, f64::from);
+    capacity.lines_per_second = or(arguments.lines_per_second, capacity.lines_per_second);
+    capacity.call_lines = or(arguments.call_lines, capacity.call_lines);
+    capacity.continued_call_lines = or(arguments.continued_call_lines, capacity.continued_call_lines);
+    script
+}
+
+fn measure(arguments: &Run) -> ExitCode {
+    if arguments.player == Player::Virtual {
+        return virtual_time::run(arguments);
+    }
+    let Some(script) = script(&arguments.script) else { return ExitCode::from(UNUSABLE) };
+    let script = overridden(script, arguments);
     eprintln!("{}: {}", script.name, script.about);
     let report = match report(&script) {
         Ok(report) => report,
--- a/crates/rig/src/scale/real/servers.rs
+++ b/crates/rig/src/scale/real/servers.rs
@@ -372,7 +372,7 @@
     body.await.map_err(|_| BrokenOff)?;
     let job_id = id * ATTEMPTS + u64::from(attempt) % ATTEMPTS;
     let draw = Draw::new(id).on(u64::from(attempt));
-    let job = Job { id: job_id, key, work, write, handshake: Duration::ZERO, draw };
+    let job = Job { id: job_id, key, initial_rank: None, work, write, handshake: Duration::ZERO, draw };
     let done = match server.offer(&recorder, job) {
         Offered::Taken(done) => done,
         Offered::Declined => return Ok(declined()),
