--- a/crates/rig/src/scale/virtual_time/scenes.rs
+++ b/crates/rig/src/scale/virtual_time/scenes.rs
@@ -127,7 +127,8 @@
     let script = quiet("rack-lost", MARGIN + RACK_LOST_FOR + MARGIN, size)?;
     let (lost, back) = (MARGIN, MARGIN + RACK_LOST_FOR);
     let zones = script.zones;
-    let in_rack = move |number: u32| number.is_multiple_of(zones) && (number / zones).is_multiple_of(RACKS_A_ZONE);
+    let in_rack =
+        move |number: u32| number.is_multiple_of(zones) && (number / zones).is_multiple_of(RACKS_A_ZONE);
     let nodes: Vec<_> = (0..script.nodes).filter(|node| in_rack(*node)).collect();
     let numbered = (0u32..).zip(servers_at_start(&script));
     let servers: Vec<_> = numbered.filter(|(number, _)| in_rack(*number)).map(|(_, server)| server).collect();
--- a/crates/rig/tests/control_plane.rs
+++ b/crates/rig/tests/control_plane.rs
@@ -3,9 +3,10 @@
 use proptest::prelude::*;
 use rig::scale::messages::ReplicaCapacity;
 use rig::scale::script::{Event, EventKind, ScaleScript};
+use rig::scale::virtual_time::client::{CallEnd, ClientDecisions, Next, NextCall};
 use rig::scale::virtual_time::replica::{LineQueue, QueueFull};
 use rig::scale::virtual_time::scenes::{named, names, Size, VIRTUAL_ONLY};
-use rig::scale::virtual_time::{play, play_traced, Occurrence, Outcome, Scene, SceneError, Sent};
+use rig::scale::virtual_time::{play, play_traced, play_with, Occurrence, Outcome, Scene, SceneError, Sent};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -135,6 +136,50 @@
     assert_all_have_all(&lagging);
 }
 
+/// A client that asks two replicas in turn for the whole list, and takes what it gets.
+struct Gullible {
+    replica: u32,
+}
+
+impl ClientDecisions for Gullible {
+    fn next_call(&mut self, _now: Duration, _draw: &mut dyn FnMut() -> f64) -> NextCall {
+        self.replica = 1 - self.replica;
+        let limit = 3 * SECOND;
+        NextCall { replica: self.replica, after: None, wait: Duration::ZERO, limit, connect: SECOND }
+    }
+
+    fn ended(&mut self, _now: Duration, end: CallEnd, _draw: &mut dyn FnMut() -> f64) -> Next {
+        let applied = match end {
+            CallEnd::Answered { listing, .. } => Some(listing.version),
+            _ => None,
+        };
+        Next { pause: SECOND, applied }
+    }
+}
+
+// Guards against a count of versions that went back which never counts any.
+#[test]
+fn a_client_that_takes_older_lists_is_seen_to_go_back_and_the_real_one_does_not() {
+    let two = Size { replicas: 2, mechanism: true, ..size(5) };
+    let changes = event(20, 60, EventKind::Changes { per_day: 20_000.0, step: SECOND });
+    let lagging = EventKind::ReplicaLagging { replica: Some(1), lag: 10 * SECOND };
+    let scene = quiet(&two, vec![changes, event(0, 120, lagging)]);
+    let gullible = play_with(&scene, &mut |_| Box::new(Gullible { replica: 0 }));
+    assert!(gullible.went_back > 10, "{gullible:?}");
+    assert_all_have_all(&play(&scene));
+}
+
+// Guards against a count of changes that were never told which never counts any.
+#[test]
+fn a_discovery_that_does_not_come_back_leaves_changes_that_are_never_told() {
+    let changes = event(20, 60, EventKind::Changes { per_day: 20_000.0, step: SECOND });
+    let scene = quiet(&size(5), vec![changes, event(30, 90, EventKind::DiscoveryAway)]);
+    let until_back = ScaleScript { catch_up: Duration::ZERO, ..scene.script.clone() };
+    let outcome = play(&Scene { script: until_back, ..scene });
+    assert!(outcome.never > 0, "{outcome:?}");
+    assert_eq!(outcome.never + outcome.latencies.count(), outcome.changes * 5);
+}
+
 #[test]
 fn every_scene_is_played_and_one_that_is_not_known_is_named() {
     for name in names() {
