--- a/crates/rig/src/scale/beside.rs
+++ b/crates/rig/src/scale/beside.rs
@@ -65,7 +65,11 @@
             classes: classes(),
             seed: script.seed,
         };
-        self.nodes = Some(RealNodes::start(servers, settings).await?);
+        let nodes = RealNodes::start(servers, settings).await?;
+        // They have read their files and are not started again: a run that is killed leaves none behind. What is still
+        // there goes with the nodes.
+        let _ = std::fs::remove_dir_all(nodes.folder());
+        self.nodes = Some(nodes);
         Ok(())
     }
 
@@ -131,6 +135,8 @@
         failed: report.failed,
         unanswered: report.unanswered,
         held_back: report.held_back,
+        load_ran_out: report.load_ran_out,
+        latest_us: report.latest_us,
         p50_us: report.latency.p50_us,
         p99_us: report.latency.p99_us,
         rules_broken: [broken.lost, broken.repeated_effect, broken.after_drain, broken.cold_server_fell],
