--- a/crates/rig/src/scale/virtual_time/scenes.rs
+++ b/crates/rig/src/scale/virtual_time/scenes.rs
@@ -120,7 +120,7 @@
 
 fn changes(length: Duration) -> Event {
     let what = EventKind::Changes { per_day: CHANGES_A_DAY, step: Duration::from_secs(2) };
-    Event { at: Duration::ZERO, over: length, what }
+    Event { at: Duration::ZERO, over: Some(length), what }
 }
 
 fn rack_lost(size: &Size) -> Result<Scene, SceneError> {
--- a/crates/rig/tests/control_plane.rs
+++ b/crates/rig/tests/control_plane.rs
@@ -30,7 +30,7 @@
 }
 
 fn event(at: u64, over: u64, what: EventKind) -> Event {
-    Event { at: Duration::from_secs(at), over: Duration::from_secs(over), what }
+    Event { at: Duration::from_secs(at), over: Some(Duration::from_secs(over)), what }
 }
 
 fn assert_all_have_all(outcome: &Outcome) {
@@ -211,7 +211,11 @@
     let what = prop_oneof![
         (1_000.0..100_000.0, step)
             .prop_map(|(per_day, step)| EventKind::Changes { per_day, step: SECOND * step }),
-        (1_000.0..100_000.0).prop_map(|per_day| EventKind::Restarts { per_day, down: SECOND }),
+        (1_000.0..100_000.0).prop_map(|per_day| EventKind::Restarts {
+            per_day,
+            down: SECOND,
+            nodes_only: false
+        }),
         (0..34u32).prop_map(|zone| EventKind::Zone { zone: Some(zone) }),
         Just(EventKind::ReplicaLost { replica: None }),
         Just(EventKind::ReplicaSilent { replica: None }),
