--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -10,6 +10,7 @@
 //!   [`replica_set`] knows what each replica is told, and [`beside`] passes on to [`real`] nodes what happens.
 //! - [`acts`] knows when which node acted on what; [`report`] shows it, and [`plot`] draws it.
 //! - [`fit`] lays lines through the figures of several sizes.
+//! - [`virtual_time`] plays clients of discovery alone, at any size, without sockets and clock.
 
 pub mod acts;
 pub mod beside;
@@ -29,6 +30,7 @@
 pub mod scenarios;
 pub mod script;
 pub mod snapshot;
+pub mod virtual_time;
 
 pub use report::ScaleReport;
 pub use script::ScaleScript;
