--- /dev/null
+++ b/crates/decide/benches/servers.rs
@@ -0,0 +1,137 @@
+//! What one decision, one whole list and one change cost by the number of cache servers.
+//!
+//! `cargo bench -p decide --bench servers`. The largest size is meant for prediction: fit the others, then compare.
+
+use criterion::{BatchSize, BenchmarkId, Criterion};
+use decide::{
+    Action, Availability, Balancer, Class, ClassId, Effect, Event, LoadReport, Note, Outcome, Request,
+    ServerEntry, ServerList, Settings, Status, Timestamp,
+};
+use std::time::Duration;
+
+/// Cache servers: about those of today, of each doubling up to the planned size, and one size beyond.
+const SERVERS: [u32; 6] = [79, 138, 275, 550, 1_100, 2_200];
+const NODES: u32 = 5_900;
+const START: Timestamp = Timestamp::from_micros(3_000_000_000);
+/// One node's part of the planned peak: 3.4 million requests a second over 5,900 nodes.
+const BETWEEN_REQUESTS: Duration = Duration::from_micros(1_736);
+const WARM_UP_REQUESTS: u64 = 2_000;
+const KEYS: u64 = 100_003;
+
+fn entry(number: u32) -> ServerEntry {
+    ServerEntry {
+        zone: Some(["a", "b"][number as usize % 2].into()),
+        ..ServerEntry::new(&format!("s-{number:05}"))
+    }
+}
+
+fn entries(count: u32) -> Vec<ServerEntry> {
+    (0..count).map(entry).collect()
+}
+
+/// A node with a list of so many servers, and the clock and count of requests that it has had.
+struct Fixture {
+    balancer: Balancer,
+    actions: Vec<Action>,
+    now: Timestamp,
+    requests: u64,
+}
+
+impl Fixture {
+    fn new(servers: u32) -> Self {
+        let class = Class { name: "read".into(), effect: Effect::Safe, ..Class::default() };
+        let settings =
+            Settings { zone: Some("a".into()), nodes: NODES, classes: vec![class], ..Settings::default() };
+        let mut fixture =
+            Self { balancer: Balancer::new(settings, 1), actions: Vec::new(), now: START, requests: 0 };
+        fixture.handle(Event::Servers(ServerList::Full(entries(servers).into())));
+        for _ in 0..WARM_UP_REQUESTS {
+            fixture.serve_request();
+        }
+        fixture
+    }
+
+    fn handle(&mut self, event: Event) {
+        self.actions.clear();
+        self.balancer.handle(self.now, event, &mut self.actions);
+    }
+
+    /// One request from its arrival to its answer.
+    fn serve_request(&mut self) {
+        self.requests += 1;
+        self.now = self.now + BETWEEN_REQUESTS;
+        let id = format!("r-{}", self.requests);
+        let mut request = Request::new(&id, self.now + Duration::from_millis(500));
+        request.class = Some(ClassId(0));
+        request.key = Some(self.requests.wrapping_mul(7_919) % KEYS);
+        self.handle(Event::Request(request));
+        let sent = self.actions.iter().find_map(|action| match action {
+            Action::Send { id, server, .. } => Some((id.clone(), server.clone())),
+            _ => None,
+        });
+        let Some((id, server)) = sent else { return };
+        self.handle(Event::Outcome(Outcome {
+            id,
+            attempt: 0,
+            server,
+            status: Status::Ok,
+            note: Some(Note::Hit),
+            took: Duration::from_millis(5),
+            finished: true,
+            load: LoadReport::default(),
+        }));
+    }
+}
+
+fn requests(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("one request");
+    for servers in SERVERS {
+        let mut fixture = Fixture::new(servers);
+        group.bench_function(BenchmarkId::from_parameter(servers), |bencher| {
+            bencher.iter(|| fixture.serve_request());
+        });
+    }
+}
+
+fn whole_lists(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("one whole list");
+    for servers in SERVERS {
+        let mut fixture = Fixture::new(servers);
+        let list = entries(servers);
+        group.bench_function(BenchmarkId::from_parameter(servers), |bencher| {
+            bencher.iter_batched(
+                || Event::Servers(ServerList::Full(list.clone().into())),
+                |event| fixture.handle(event),
+                BatchSize::SmallInput,
+            );
+        });
+    }
+}
+
+fn changes(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("one change");
+    for servers in SERVERS {
+        let mut fixture = Fixture::new(servers);
+        let mut ready = true;
+        group.bench_function(BenchmarkId::from_parameter(servers), |bencher| {
+            bencher.iter(|| {
+                ready = !ready;
+                let availability = if ready { Availability::Ready } else { Availability::Draining };
+                let changed = ServerEntry { availability, ..entry(0) };
+                fixture.handle(Event::Servers(ServerList::Changes([changed].into())));
+            });
+        });
+    }
+}
+
+fn main() {
+    let mut criterion = Criterion::default()
+        .sample_size(20)
+        .warm_up_time(Duration::from_millis(500))
+        .measurement_time(Duration::from_secs(2))
+        .configure_from_args();
+    requests(&mut criterion);
+    whole_lists(&mut criterion);
+    changes(&mut criterion);
+    criterion.final_summary();
+}
