--- a/crates/decide/src/share.rs
+++ b/crates/decide/src/share.rs
@@ -61,7 +61,7 @@
         self.sending(self.capacity.call_lines + f64::from(self.lines()))
     }
 
-    /// By how much watches are stretched, so that at rest they use [`AT_REST`] of the replica at the most. `mean` is the mean
+    /// By how much watches are stretched, so that at rest they use half of the replica at the most. `mean` is the mean
     /// wait without it.
     pub fn stretch(self, mean: Duration) -> f64 {
         (self.all_calls().as_secs_f64() / AT_REST / mean.as_secs_f64()).max(1.0)
--- a/crates/rig/src/scale/process.rs
+++ b/crates/rig/src/scale/process.rs
@@ -129,7 +129,7 @@
     }
 }
 
-/// Raises this process's own limit of descriptors as far as it may, up to [`MOST_DESCRIPTORS`].
+/// Raises this process's own limit of descriptors as far as it may, up to 20,000.
 pub fn raise_descriptors() -> Result<(), ProcessError> {
     let Rlimit { current, maximum } = getrlimit(Resource::Nofile);
     let wanted = maximum.map_or(MOST_DESCRIPTORS, |maximum| maximum.min(MOST_DESCRIPTORS));
