Tell the course of a request with each violation of a scenario

Two red tests ended with "was never answered" and "answered N ms after its client gave up", which a node without processor time, a late player, a reset and a kill all look like.

The judge now keeps when a request was accepted and how its connection ended, and adds to each violation a line with its acceptance, attempts, executions, answer, lost connection and the node's last kill. No verdict changes.

--- a/crates/testbed/src/judge/mod.rs
+++ b/crates/testbed/src/judge/mod.rs
@@ -5,6 +5,7 @@
 
 mod observation;
 mod record;
+mod trace;
 mod verdict;
 
 pub use observation::{FinalAnswer, Observation, RequestNumber};
@@ -49,6 +50,8 @@
     /// By node and cache server: when the node was notified that the server is unavailable.
     unavailable_since: BTreeMap<(usize, usize), Timestamp>,
     seconds: Vec<SecondFigures>,
+    /// The node and the time of each kill.
+    kills: Vec<(usize, Timestamp)>,
     violations: Vec<Violation>,
     violation_counts: [u64; 4],
 }
@@ -66,6 +69,7 @@
             requests: BTreeMap::new(),
             unavailable_since: BTreeMap::new(),
             seconds: vec![SecondFigures::default(); seconds.max(1)],
+            kills: Vec::new(),
             violations: Vec::new(),
             violation_counts: [0; 4],
         }
@@ -86,11 +90,16 @@
             }
             Observation::RequestAccepted { request, operation, node, at, expires_at } => {
                 self.second(at).accepted += 1;
-                self.requests.insert(request, RequestRecord::new(operation, node, expires_at));
+                self.requests.insert(request, RequestRecord::new(operation, node, at, expires_at));
             }
             Observation::AttemptSent { request, server, at } => self.attempt_sent(request, server, at),
             Observation::Executed { request, server, at } => self.executed(request, server, at),
             Observation::Answered { request, at, answer } => self.answered(request, at, answer),
+            Observation::ConnectionLost { request, at, reason } => {
+                if let Some(record) = self.requests.get_mut(&request) {
+                    record.connection_lost = Some((at, reason));
+                }
+            }
             Observation::ClientDisconnected { request } => {
                 if let Some(record) = self.requests.get_mut(&request) {
                     record.excused = true;
@@ -115,11 +124,21 @@
     }
 
     fn violation(&mut self, rule: Rule, at: Timestamp, description: String) {
+        self.add_violation(rule, at, description, None);
+    }
+
+    /// A violation that concerns a request.
+    fn request_violation(&mut self, rule: Rule, at: Timestamp, request: RequestNumber, description: String) {
+        let trace = self.requests.get(&request).map(|record| self.trace(record));
+        self.add_violation(rule, at, description, trace);
+    }
+
+    fn add_violation(&mut self, rule: Rule, at: Timestamp, description: String, trace: Option<String>) {
         let number = rule as u8;
         self.violation_counts[usize::from(number) - 1] += 1;
         if self.violations.len() < MAX_DESCRIBED_VIOLATIONS {
             let at_s = at.as_micros() as f64 / 1e6;
-            self.violations.push(Violation { rule: number, at_s, description });
+            self.violations.push(Violation { rule: number, at_s, description, trace });
         }
     }
 
@@ -147,6 +166,7 @@
     }
 
     fn node_killed(&mut self, node: usize, at: Timestamp) {
+        self.kills.push((node, at));
         let pending = self.requests.values_mut().filter(|record| record.is_pending_at(node));
         let in_time = pending.filter(|record| at <= record.expires_at + TOLERANCE);
         in_time.for_each(|record| record.excused = true);
@@ -162,14 +182,14 @@
         let (node, answered) = (record.node, record.answered);
         if answered.is_some_and(|(when, _)| at > when) {
             let description = format!("request {request:x} was forwarded after its final answer");
-            self.violation(Rule::OneAnswerInTime, at, description);
+            self.request_violation(Rule::OneAnswerInTime, at, request, description);
         }
         let notified = self.unavailable_since.get(&(node, server)).copied();
         if let Some(notified) = notified.filter(|since| at > *since + self.drain_grace + TOLERANCE) {
             let late = at.since(notified).as_millis();
             let name = self.server_name(server);
             let description = format!("node {node} sent to {name} {late} ms after it was told to stop");
-            self.violation(Rule::NothingAfterDrain, at, description);
+            self.request_violation(Rule::NothingAfterDrain, at, request, description);
         }
     }
 
@@ -182,7 +202,7 @@
         if let Some(reason) = self.unsafe_repeat(request, server, at) {
             let description =
                 format!("request {request:x} ran again at {}: {reason}", self.server_name(server));
-            self.violation(Rule::SafeRepeats, at, description);
+            self.request_violation(Rule::SafeRepeats, at, request, description);
         }
     }
 
@@ -230,7 +250,7 @@
         } else {
             return;
         };
-        self.violation(Rule::OneAnswerInTime, at, description);
+        self.request_violation(Rule::OneAnswerInTime, at, request, description);
     }
 
     fn operation_served(&mut self, operation: u64, at: Timestamp) {
@@ -286,7 +306,7 @@
             match record.answered {
                 None if !record.excused => {
                     let description = format!("request {request:x} was never answered");
-                    violations.push((Rule::OneAnswerInTime, record.expires_at, description));
+                    violations.push((Rule::OneAnswerInTime, record.expires_at, *request, description));
                 }
                 // A rejection says that a retry is harmless, whatever was executed before or after it.
                 Some((at, FinalAnswer::Rejected))
@@ -294,16 +314,18 @@
                         && !is_always_repeatable(self.class_of(record).idempotency) =>
                 {
                     let description = format!("request {request:x} was refused, and it ran");
-                    violations.push((Rule::SafeRepeats, at, description));
+                    violations.push((Rule::SafeRepeats, at, *request, description));
                 }
                 Some((at, FinalAnswer::Served)) if record.executions.is_empty() => {
                     let description = format!("request {request:x} was served, and it ran nowhere");
-                    violations.push((Rule::OneAnswerInTime, at, description));
+                    violations.push((Rule::OneAnswerInTime, at, *request, description));
                 }
                 _ => {}
             }
         }
-        violations.into_iter().for_each(|(rule, at, description)| self.violation(rule, at, description));
+        for (rule, at, request, description) in violations {
+            self.request_violation(rule, at, request, description);
+        }
     }
 
     fn service(&self) -> Service {
--- a/crates/testbed/src/judge/observation.rs
+++ b/crates/testbed/src/judge/observation.rs
@@ -70,6 +70,15 @@
         /// The answer.
         answer: FinalAnswer,
     },
+    /// The connection of a request ended without an answer. An answer is still owed.
+    ConnectionLost {
+        /// The request.
+        request: RequestNumber,
+        /// When the client saw it.
+        at: Timestamp,
+        /// What the client saw.
+        reason: String,
+    },
     /// The client disconnected before it had an answer: none is owed.
     ClientDisconnected {
         /// The request.
--- a/crates/testbed/src/judge/record.rs
+++ b/crates/testbed/src/judge/record.rs
@@ -7,25 +7,30 @@
 pub(super) struct RequestRecord {
     pub(super) operation: u64,
     pub(super) node: usize,
+    pub(super) accepted_at: Timestamp,
     pub(super) expires_at: Timestamp,
     /// The cache servers that it was sent to, and when.
     pub(super) sent: Vec<(usize, Timestamp)>,
     /// The cache servers that executed it, and when they finished.
     pub(super) executions: Vec<(usize, Timestamp)>,
     pub(super) answered: Option<(Timestamp, FinalAnswer)>,
+    /// When the connection ended without an answer, and why.
+    pub(super) connection_lost: Option<(Timestamp, String)>,
     /// No answer is owed any more.
     pub(super) excused: bool,
 }
 
 impl RequestRecord {
-    pub(super) fn new(operation: u64, node: usize, expires_at: Timestamp) -> Self {
+    pub(super) fn new(operation: u64, node: usize, accepted_at: Timestamp, expires_at: Timestamp) -> Self {
         Self {
             operation,
             node,
+            accepted_at,
             expires_at,
             sent: Vec::new(),
             executions: Vec::new(),
             answered: None,
+            connection_lost: None,
             excused: false,
         }
     }
--- a/crates/testbed/src/judge/verdict.rs
+++ b/crates/testbed/src/judge/verdict.rs
@@ -13,6 +13,8 @@
     /// What happened.
     #[serde(rename = "what")]
     pub description: String,
+    /// The course of the request, for a violation that concerns one.
+    pub trace: Option<String>,
 }
 
 /// The figures of one second of a run.
--- a/crates/testbed/src/report.rs
+++ b/crates/testbed/src/report.rs
@@ -96,6 +96,9 @@
                 "rule {} at {:.3} s: {}",
                 violation.rule, violation.at_s, violation.description
             );
+            if let Some(trace) = &violation.trace {
+                let _ = writeln!(text, "  {trace}");
+            }
         }
         for check in &self.checks {
             let (word, suffix) = if check.met { ("held", "") } else { ("MISSED", " instead") };
--- a/crates/testbed/src/sockets/clients.rs
+++ b/crates/testbed/src/sockets/clients.rs
@@ -223,7 +223,14 @@
             }
             // A node may close an idle connection while a request is on its way; it is sent again on a new connection.
             Err(_) if reused => {}
-            Err(_) => return None,
+            Err(error) => {
+                context.record(Observation::ConnectionLost {
+                    request: request.request,
+                    at: context.now(),
+                    reason: error.to_string(),
+                });
+                return None;
+            }
         }
     }
 }
--- a/crates/testbed/tests/judge.rs
+++ b/crates/testbed/tests/judge.rs
@@ -382,3 +382,29 @@
     assert_eq!(one.violation_counts, [1, 0, 0, 0]);
     assert_eq!(one.violations[0].description, "request 0 was never answered");
 }
+
+/// Red runs on sockets could not be explained: a node without processor time, a reset and a kill all read "was never answered".
+#[test]
+fn a_violation_tells_the_course_of_its_request() {
+    let script = small(Idempotency::Idempotent, vec![]);
+    let at = |ms: u64| Timestamp::from_micros(ms * 1_000);
+    let mut judge = Judge::new(&script);
+    let server = judge.add_server("box", 0, 0);
+    judge.record(Observation::OperationStarted { operation: 0, at: at(0), class: 0 });
+    judge.record(Observation::NodeKilled { node: 2, at: at(1) });
+    let (request, node) = (0, 2);
+    judge.record(Observation::RequestAccepted {
+        request,
+        operation: 0,
+        node,
+        at: at(2),
+        expires_at: at(300),
+    });
+    judge.record(Observation::AttemptSent { request, server, at: at(5) });
+    judge.record(Observation::Executed { request, server, at: at(10) });
+    judge.record(Observation::ConnectionLost { request, at: at(20), reason: "reset".into() });
+    let violations = judge.verdict().violations;
+    let expected = "accepted by node 2 at 0.002 s, client waits until 0.300 s; sent to box at 0.005 s; \
+                    executed at box at 0.010 s; connection lost at 0.020 s: reset; node 2 last killed at 0.001 s";
+    assert_eq!(violations[0].trace.as_deref(), Some(expected));
+}
