Count the time of a request from its arrival and not from its read

Callers whose request came while a node was held up (starting, or without processor time) got their answer late by the wait, or none in time; one whose time was over was still forwarded.

Cause: http1/connection.rs took Instant::now() at the read as the start of Req-Deadline-Ms, while connections and bytes wait in the system before it.

--- a/crates/cache-balancer/src/daemon/listeners.rs
+++ b/crates/cache-balancer/src/daemon/listeners.rs
@@ -8,6 +8,7 @@
 use crate::log::log;
 use crate::service_manager::ActivationSockets;
 use crate::shutdown_phase::ShutdownPhase;
+use arrival_time::note_arrivals;
 use std::io;
 use std::os::fd::{AsFd, OwnedFd};
 use std::rc::{Rc, Weak};
@@ -65,6 +66,9 @@
                 bound.map_err(|error| ConfigureError::Listen { address, error })?
             }
         };
+        // From here on, so that requests that come before the first accept tell when they came. Where the system cannot,
+        // they count from their read.
+        note_arrivals(&socket);
         bound.push((index, socket));
     }
     Ok(bound)
--- a/crates/cache-balancer/src/fronts/connections/state.rs
+++ b/crates/cache-balancer/src/fronts/connections/state.rs
@@ -69,6 +69,8 @@
     pub(super) usage: Rc<Usage>,
     phase: Cell<Phase>,
     phase_since: Cell<Instant>,
+    /// When the last bytes of a request came.
+    received_at: Cell<Instant>,
     pub(super) framing: RequestFraming,
     /// Bytes came before the response to the last request was written: the next request has begun.
     pub(super) pipelined: Cell<bool>,
@@ -88,6 +90,7 @@
             usage,
             phase: Cell::new(Phase::New),
             phase_since: Cell::new(Instant::now()),
+            received_at: Cell::new(Instant::now()),
             framing: RequestFraming::default(),
             pipelined: Cell::default(),
             pipeline_overflowed: Cell::default(),
@@ -129,6 +132,17 @@
         self.phase_since.set(now);
     }
 
+    /// When the last bytes of a request came.
+    pub(super) fn received_at(&self) -> Instant {
+        self.received_at.get()
+    }
+
+    /// Bytes of a request were read that had waited in the system for this time.
+    pub(super) fn bytes_received(&self, waited: Duration) {
+        let now = Instant::now();
+        self.received_at.set(now.checked_sub(waited).unwrap_or(now));
+    }
+
     /// The first bytes have come. The time of the first request runs on from the connection's start.
     pub(super) fn first_bytes_read(&self) {
         self.phase.set(Phase::ReadingRequest);
--- a/crates/cache-balancer/src/fronts/connections/stream.rs
+++ b/crates/cache-balancer/src/fronts/connections/stream.rs
@@ -1,6 +1,7 @@
 //! The socket of a client: hands one request at a time to hyper, and sees the client disconnect meanwhile.
 
 use super::state::{ConnectionState, Phase};
+use arrival_time::{ArrivalReader, Received};
 use bytes::{Buf, BytesMut};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::SockRef;
@@ -9,6 +10,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 use tokio::net::TcpStream;
 
 /// The number of bytes that are read from a socket at once.
@@ -26,6 +28,7 @@
 /// A client's socket, which records in the connection's state what passes on it.
 pub struct ClientStream {
     socket: Rc<TcpStream>,
+    reader: ArrivalReader,
     state: Rc<ConnectionState>,
     /// Pipelined bytes, until the current response is written.
     pipelined: BytesMut,
@@ -36,13 +39,15 @@
 impl ClientStream {
     /// The socket of a connection.
     pub(super) fn new(state: Rc<ConnectionState>) -> Self {
-        Self { socket: state.socket.clone(), state, pipelined: BytesMut::new(), discarded: 0 }
+        let socket = state.socket.clone();
+        let reader = ArrivalReader::new(&socket);
+        Self { socket, reader, state, pipelined: BytesMut::new(), discarded: 0 }
     }
 
-    fn poll_bytes(&self, cx: &mut Context<'_>, bytes: &mut [u8]) -> Poll<io::Result<usize>> {
+    fn poll_bytes(&mut self, cx: &mut Context<'_>, bytes: &mut [u8]) -> Poll<io::Result<Received>> {
         loop {
             ready!(self.socket.poll_read_ready(cx))?;
-            match self.socket.try_read(bytes) {
+            match self.reader.try_read(&self.socket, bytes) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 read => return Poll::Ready(read),
             }
@@ -81,7 +86,7 @@
                 return Poll::Pending;
             }
             let mut bytes = [0; READ_CHUNK_BYTES];
-            let read = ready!(self.poll_bytes(cx, &mut bytes[..chunk]))?;
+            let read = ready!(self.poll_bytes(cx, &mut bytes[..chunk]))?.bytes;
             if read == 0 {
                 return Poll::Ready(Ok(()));
             }
@@ -119,8 +124,10 @@
         let max_bytes = buf.remaining().min(READ_CHUNK_BYTES);
         if self.pipelined.is_empty() {
             let mut bytes = [0; READ_CHUNK_BYTES];
-            let read = ready!(self.poll_bytes(cx, &mut bytes[..max_bytes]))?;
-            let (current, next) = bytes[..read].split_at(self.state.framing.measure(&bytes[..read]));
+            let received = ready!(self.poll_bytes(cx, &mut bytes[..max_bytes]))?;
+            self.state.bytes_received(received.waited);
+            let read = &bytes[..received.bytes];
+            let (current, next) = read.split_at(self.state.framing.measure(read));
             buf.put_slice(current);
             self.pipelined.extend_from_slice(next);
             if current.is_empty() {
@@ -128,6 +135,7 @@
             }
         } else {
             self.read_pipelined(&mut buf, max_bytes);
+            self.state.bytes_received(Duration::ZERO);
         }
         match self.state.phase() {
             Phase::New => self.state.first_bytes_read(),
@@ -174,7 +182,7 @@
         }
         let mut bytes = [0; READ_CHUNK_BYTES];
         while self.discarded < MAX_LINGER_BYTES {
-            match ready!(self.poll_bytes(cx, &mut bytes))? {
+            match ready!(self.poll_bytes(cx, &mut bytes))?.bytes {
                 0 => break,
                 read => self.discarded += read,
             }
--- a/crates/cache-balancer/src/fronts/connections/tracked.rs
+++ b/crates/cache-balancer/src/fronts/connections/tracked.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::sleep_until;
+use tokio::time::{sleep_until, Instant};
 
 /// When the node closes, a connection that has sent nothing yet is given this time from its start: its first
 /// request is on its way.
@@ -40,6 +40,11 @@
         }
     }
 
+    /// When the last bytes of the current request came: before they were read, if the node was held up.
+    pub fn received_at(&self) -> Instant {
+        self.state.received_at()
+    }
+
     /// A request has come whole.
     pub fn request_read(&self) {
         self.state.enter(Phase::Processing);
--- a/crates/cache-balancer/src/fronts/http1/connection.rs
+++ b/crates/cache-balancer/src/fronts/http1/connection.rs
@@ -15,7 +15,6 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 /// The longest request head, in bytes; a longer one gets status 431. With a body each it is the most that
 /// connections can make the node hold.
@@ -68,7 +67,8 @@
     shutdown_phase: &watch::Receiver<ShutdownPhase>,
     request: Request<Incoming>,
 ) -> Result<HttpResponse, RequestError> {
-    let received_at = Instant::now();
+    // Its client counts from there, and not from when this process came to read it.
+    let received_at = connection.received_at();
     let (head, body) = request.into_parts();
     let target = head.uri.path_and_query().cloned().ok_or(RequestError::NoPath)?;
     if target.path() == HEALTH_PATH {
--- a/crates/cache-balancer/src/input.rs
+++ b/crates/cache-balancer/src/input.rs
@@ -24,7 +24,7 @@
 pub struct AcceptedRequest {
     /// Identifies it to the driver.
     pub number: RequestNumber,
-    /// When its head was read.
+    /// When its head came.
     pub received_at: Instant,
     /// How long the client waits, from `received_at`.
     pub client_timeout: Duration,
