Judge answers and attempts of socket runs by their arrival and not by the runner's read

Runs on a busy machine reported answers as late that their node had given in time, which made tests of scenario.rs red.

Cause: the one thread of all clients and stand-ins recorded context.now() when it came to read.

Now TimedStream records when the system received the bytes, for answers (AsyncRead of clients) and for attempts (stand-in cache servers). No limit and no tolerance changed: what is late on the wire is judged late, and what was sent before is no longer taken for later.

--- a/crates/arrival-time/tests/waits.rs
+++ b/crates/arrival-time/tests/waits.rs
@@ -7,6 +7,8 @@
 use tokio::net::{TcpListener, TcpStream};
 
 const WAIT: Duration = Duration::from_millis(200);
+/// The most connections until the system notes arrivals.
+const MAX_ATTEMPTS: usize = 1_000;
 
 /// A listener whose connections are known to have their arrivals noted: the system may take a moment to begin.
 async fn noting_listener() -> TcpListener {
@@ -20,8 +22,12 @@
         let received = ArrivalReader::new(&server).try_read(&server, &mut [0; 1]).unwrap();
         received.waited > Duration::ZERO
     };
-    while !is_noted().await {}
-    listener
+    for _ in 0..MAX_ATTEMPTS {
+        if is_noted().await {
+            return listener;
+        }
+    }
+    panic!("no arrival noted in {MAX_ATTEMPTS} connections");
 }
 
 async fn connection(listener: &TcpListener) -> (TcpStream, TcpStream) {
--- a/crates/testbed/src/sockets/cache_server/connection.rs
+++ b/crates/testbed/src/sockets/cache_server/connection.rs
@@ -74,20 +74,21 @@
         let idle_timeout = kind.idle_timeout.unwrap_or(context.script.network.idle_timeout);
         (ConnectionFaults::new(state.connections_forgotten_at[index].clone()), idle_timeout)
     };
+    let stream = FaultyStream::new(stream, faults.clone());
+    let last_arrival = stream.last_arrival();
     let new_connection = Cell::new(true);
     let usage = Rc::new(Usage::new());
     let service = service_fn(|request: Request<Incoming>| {
-        let new_connection = new_connection.replace(false);
+        let (new_connection, sent_at) = (new_connection.replace(false), last_arrival.get());
         let (context, faults, usage) = (context.clone(), faults.clone(), usage.clone());
         async move {
             usage.begin();
-            let response = respond(&context, process, request, new_connection, &faults).await;
+            let response = respond(&context, process, request, sent_at, new_connection, &faults).await;
             usage.end();
             Ok::<_, Infallible>(response)
         }
     });
-    let stream = TokioIo::new(FaultyStream::new(stream, faults.clone()));
-    let mut serving = pin!(http1::Builder::new().serve_connection(stream, service));
+    let mut serving = pin!(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
     tokio::select! {
         // A connection error shows at the node, and in what the judge records.
         _ = serving.as_mut() => return,
--- a/crates/testbed/src/sockets/cache_server/mod.rs
+++ b/crates/testbed/src/sockets/cache_server/mod.rs
@@ -16,6 +16,7 @@
 use crate::models::cache_server::{JobId, ServerOutput};
 use crate::models::CacheServer;
 use crate::placement;
+use arrival_time::note_arrivals;
 use balancer_core::{Endpoint, EndpointState, Timestamp};
 use std::collections::HashMap;
 use std::io;
@@ -61,7 +62,11 @@
 }
 
 async fn listen(address: Option<SocketAddr>) -> io::Result<TcpListener> {
-    TcpListener::bind(address.unwrap_or_else(|| SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))).await
+    let listener =
+        TcpListener::bind(address.unwrap_or_else(|| SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))).await?;
+    // Attempts on connections that are not accepted yet count from their arrival, too.
+    note_arrivals(&listener);
+    Ok(listener)
 }
 
 /// Starts a server under a new name.
--- a/crates/testbed/src/sockets/cache_server/respond.rs
+++ b/crates/testbed/src/sockets/cache_server/respond.rs
@@ -19,15 +19,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{oneshot, watch};
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 
 type HttpResponse = Response<Full<Bytes>>;
 
-/// Responds to an attempt. `process` is the cache server's process.
+/// Responds to an attempt that came at `sent_at`. `process` is the cache server's process.
 pub(super) async fn respond(
     context: &Rc<Context>,
     process: usize,
     request: Request<Incoming>,
+    sent_at: Instant,
     new_connection: bool,
     faults: &ConnectionFaults,
 ) -> HttpResponse {
@@ -37,7 +38,7 @@
     context.record(Observation::AttemptSent {
         request: attempt.id.request,
         server: attempt.judge_number,
-        at: context.now(),
+        at: context.timestamp(sent_at),
     });
     if attempt.arrive(context, new_connection).await.is_err() {
         faults.reset_next_write();
--- a/crates/testbed/src/sockets/clients.rs
+++ b/crates/testbed/src/sockets/clients.rs
@@ -2,6 +2,7 @@
 
 use super::cache_server::response_body;
 use super::context::{Context, SentRequest};
+use super::timed_stream::{LastArrival, TimedStream};
 use crate::judge::{FinalAnswer, Observation, RequestNumber, TOLERANCE};
 use crate::random::RandomSource;
 use crate::{client_model, network_model};
@@ -25,6 +26,7 @@
 /// A connection to a node. Dropping it closes it, even during an answer.
 struct Connection {
     sender: SendRequest<Empty<Bytes>>,
+    last_arrival: LastArrival,
     task: AbortHandle,
 }
 
@@ -213,7 +215,7 @@
             Ok(answer) => {
                 context.record(Observation::Answered {
                     request: request.request,
-                    at: context.now(),
+                    at: context.timestamp(connection.last_arrival.get()),
                     answer: answer.answer,
                 });
                 if answer.keep_connection {
@@ -238,12 +240,14 @@
 async fn connect(address: SocketAddr) -> Option<Connection> {
     let stream = TcpStream::connect(address).await.ok()?;
     stream.set_nodelay(true).ok()?;
+    let stream = TimedStream::new(stream);
+    let last_arrival = stream.last_arrival();
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     let task = spawn_local(async move {
         // An error shows at the request that is sent on it.
         let _ = connection.await;
     });
-    Some(Connection { sender, task: task.abort_handle() })
+    Some(Connection { sender, last_arrival, task: task.abort_handle() })
 }
 
 async fn send(
--- a/crates/testbed/src/sockets/context.rs
+++ b/crates/testbed/src/sockets/context.rs
@@ -178,6 +178,11 @@
         self.started_at.get().elapsed()
     }
 
+    /// The time of an instant; the run's start, if it was earlier.
+    pub(super) fn timestamp(&self, instant: Instant) -> Timestamp {
+        Timestamp::default() + instant.saturating_duration_since(self.started_at.get())
+    }
+
     pub(super) fn instant(&self, at: Timestamp) -> Instant {
         self.started_at.get() + at.since(Timestamp::default())
     }
--- a/crates/testbed/src/sockets/faulty_stream/mod.rs
+++ b/crates/testbed/src/sockets/faulty_stream/mod.rs
@@ -4,6 +4,7 @@
 #[cfg(test)]
 mod tests;
 
+use super::timed_stream::{LastArrival, TimedStream};
 use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
@@ -44,13 +45,17 @@
 /// A TCP stream with faults.
 #[derive(Debug)]
 pub(super) struct FaultyStream {
-    stream: TcpStream,
+    stream: TimedStream,
     faults: ConnectionFaults,
 }
 
 impl FaultyStream {
     pub(super) fn new(stream: TcpStream, faults: ConnectionFaults) -> Self {
-        Self { stream, faults }
+        Self { stream: TimedStream::new(stream), faults }
+    }
+
+    pub(super) fn last_arrival(&self) -> LastArrival {
+        self.stream.last_arrival()
     }
 }
 
--- a/crates/testbed/src/sockets/mod.rs
+++ b/crates/testbed/src/sockets/mod.rs
@@ -16,6 +16,7 @@
 mod node;
 mod node_config;
 mod origin;
+mod timed_stream;
 mod timer_lag;
 
 pub use error::SocketRunError;
