--- a/crates/testbed/src/sockets/clients.rs
+++ b/crates/testbed/src/sockets/clients/mod.rs
@@ -117,8 +117,7 @@
         state.requests.push(SentRequest { operation: number, ordinal, node, attempts: 0 });
         state.requests.len() as RequestNumber - 1
     };
-    let outgoing =
-        OutgoingRequest { request, operation: number, node, address, expires_at, timeout: request_timeout };
+    let outgoing = OutgoingRequest { request, operation: number, node, address, expires_at };
     let mut exchange = spawn_local(delayed_exchange(context.clone(), pool.clone(), outgoing, random));
     tokio::select! {
         answer = &mut exchange => match answer {
@@ -159,7 +158,6 @@
     node: usize,
     address: SocketAddr,
     expires_at: Timestamp,
-    timeout: Duration,
 }
 
 /// A node's answer.
@@ -206,6 +204,10 @@
         if connection.sender.ready().await.is_err() {
             continue;
         }
+        if !accepted && context.now() >= request.expires_at {
+            // The client has given up before it had a connection to send the request on.
+            return None;
+        }
         if !std::mem::replace(&mut accepted, true) {
             let OutgoingRequest { request, operation, node, expires_at, .. } = request;
             let (operation, at) = (operation as u64, context.now());
@@ -271,6 +273,8 @@
 }
 
 fn http_request(context: &Context, request: OutgoingRequest) -> hyper::http::Result<Request<Empty<Bytes>>> {
+    // The time counts from when the request is sent: what the connection took of it is gone.
+    let time_left = request.expires_at.since(context.now());
     let state = context.state.borrow();
     let operation = &state.operations[request.operation];
     let class = &context.script.classes[operation.class];
@@ -281,7 +285,7 @@
         .header("host", "service.internal")
         .header("req-id", &id)
         .header("req-kind", &class.name)
-        .header("req-deadline-ms", request.timeout.as_millis() as u64);
+        .header("req-deadline-ms", time_left.as_millis() as u64);
     if matches!(class.idempotency, Idempotency::WithKey { .. }) {
         builder = builder.header("idempotency-key", &id);
     }
@@ -295,3 +299,6 @@
 fn retry_after(headers: &HeaderMap) -> Option<Duration> {
     Duration::try_from_secs_f64(text(headers, RETRY_AFTER)?.parse().ok()?).ok()
 }
+
+#[cfg(test)]
+mod tests;
