Read answers of socket runs for half a second after their client gave up

"never answered" in a socket run meant lost or 50 ms late: the runner stopped reading 50 ms after the client's time, by its own clock, which on a busy machine is late itself.

The runner now reads for 500 ms more; the judge decides as before, by the arrival. An answer later than 50 ms is late, a missing one is lost.

--- a/crates/testbed/src/sockets/clients/mod.rs
+++ b/crates/testbed/src/sockets/clients/mod.rs
@@ -3,7 +3,7 @@
 use super::cache_server::response_body;
 use super::context::{Context, SentRequest};
 use super::timed_stream::{LastArrival, TimedStream};
-use crate::judge::{FinalAnswer, Observation, RequestNumber, TOLERANCE};
+use crate::judge::{FinalAnswer, Observation, RequestNumber};
 use crate::random::RandomSource;
 use crate::{client_model, network_model};
 use balancer_core::{Idempotency, Timestamp};
@@ -23,6 +23,10 @@
 use tokio::task::{spawn_local, AbortHandle, JoinSet};
 use tokio::time::{sleep, sleep_until, timeout};
 
+/// How long after its client gave up an answer is still read. Far more than the tolerance of the rules: the judge decides by its arrival,
+/// which the runner may read late.
+const READ_AFTER_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// A connection to a node. Dropping it closes it, even during an answer.
 struct Connection {
     sender: SendRequest<Empty<Bytes>>,
@@ -55,7 +59,7 @@
         running.spawn_local(run_operation(context.clone(), pool.clone(), number));
     }
     while running.join_next().await.is_some() {}
-    sleep(TOLERANCE).await;
+    sleep(READ_AFTER_TIMEOUT).await;
 }
 
 /// Sends the requests of an operation until it is served or given up.
@@ -133,7 +137,7 @@
         () = sleep_until(context.instant(expires_at)) => {
             // An answer on its way is still the node's: the judge records it, and the client ignores it.
             spawn_local(async move {
-                if timeout(TOLERANCE, &mut exchange).await.is_err() {
+                if timeout(READ_AFTER_TIMEOUT, &mut exchange).await.is_err() {
                     exchange.abort();
                 }
             });
