Try a queued request again after a millisecond at the earliest

A class with a latency objective of 0 stopped the node: the first of its requests that found no room kept the one thread of all requests in Balancer::handle for good.

Cause: queue.rs sets the next try a tenth of the objective later, which is now, and the loop over due requests takes it out and puts it back without end. Now two tries are at least 1 ms apart, the resolution of the runtime's timers.

--- a/crates/balancer-core/src/balance/queue.rs
+++ b/crates/balancer-core/src/balance/queue.rs
@@ -10,6 +10,9 @@
 
 /// Time between two tries, as a fraction of the latency objective.
 const TRY_INTERVAL_FRACTION: f64 = 0.1;
+/// Least time between two tries. Without it, a request with no objective would be tried again at the same
+/// moment, without end.
+const TRY_INTERVAL_MIN: Duration = Duration::from_millis(1);
 /// From its next try to its latency objective or its deadline, a request must have this multiple of the mean
 /// latency of its class: the answer may take longer than the mean.
 const LATENCY_RESERVE: u32 = 3;
@@ -30,7 +33,8 @@
 impl QueueTimes {
     /// When the request is to be tried again; `None` where it would be too late for an answer in time.
     pub fn next_try(&self, now: Timestamp) -> Option<Timestamp> {
-        let next_try = now + self.latency_objective.mul_f64(TRY_INTERVAL_FRACTION);
+        let interval = self.latency_objective.mul_f64(TRY_INTERVAL_FRACTION).max(TRY_INTERVAL_MIN);
+        let next_try = now + interval;
         let latest = (self.arrived_at + self.latency_objective).min(self.deadline);
         (next_try + self.mean_latency * LATENCY_RESERVE <= latest).then_some(next_try)
     }
