Close connections with no response on its way at once when the node ends

With idle connections that their clients kept open, a node ended 1.5 s after SIGTERM, past the platform's earliest kill.

Cause: every connection was read on for up to a second after the close, so that a reset would not overtake its response, also where none was on its way. Now one that has had no request, or none for half a second, closes at once; eviction of idle connections did so before. Unread bytes and fresh responses are treated as they were.

Test: a_connection_without_a_response_on_its_way_ends_though_its_client_holds_it waited 20 s in vain before and passes now; its last case keeps the reading on after a fresh response.

--- a/crates/cache-balancer/src/fronts/connections/state.rs
+++ b/crates/cache-balancer/src/fronts/connections/state.rs
@@ -18,6 +18,8 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(4);
 /// An idle connection is closed after this time: many clients send one request and never close.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// A response that was written this long ago has reached its client.
+pub(super) const RESPONSE_DELIVERY: Duration = Duration::from_millis(500);
 /// How long a connection is read on after its last response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -178,6 +180,17 @@
         self.close.notify_one();
     }
 
+    /// Whether a response may still be on its way to the client, in a phase between two requests.
+    pub(super) fn responded_recently(&self) -> bool {
+        self.phase() != Phase::New && self.phase_since().elapsed() < RESPONSE_DELIVERY
+    }
+
+    /// It is about to be closed between two requests, with no response on its way: it need not be read on.
+    pub(super) fn close_at_once(&self) {
+        self.uncount_idle();
+        self.closing.set(true);
+    }
+
     /// It was asked to close and stays open: a request has come meanwhile.
     pub(super) fn stay_open(&self) {
         self.closing.set(false);
--- a/crates/cache-balancer/src/fronts/connections/tests.rs
+++ b/crates/cache-balancer/src/fronts/connections/tests.rs
@@ -1,5 +1,5 @@
 use super::framing::RequestFraming;
-use super::state::{ConnectionState, Phase};
+use super::state::{ConnectionState, Phase, RESPONSE_DELIVERY};
 use super::{ConnectionTable, TrackedConnection};
 use crate::shutdown_phase::ShutdownPhase;
 use std::cell::Cell;
@@ -192,6 +192,34 @@
     tokio::task::LocalSet::new().run_until(all).await;
 }
 
+/// Connections whose clients kept them open and sent nothing held the node up for a second after its close, past the
+/// platform's earliest kill.
+#[tokio::test]
+async fn a_connection_without_a_response_on_its_way_ends_though_its_client_holds_it() {
+    let all = async {
+        for requests in [0, 1] {
+            let served = ServedConnection::start();
+            if requests > 0 {
+                served.send(REQUEST);
+                served.reach(requests, Phase::Idle).await;
+                tokio::time::sleep(RESPONSE_DELIVERY).await;
+            }
+            served.shutdown_phase.send_replace(ShutdownPhase::Closing);
+            let ended = tokio::time::timeout(WAIT_LIMIT, served.ended).await;
+            assert!(ended.is_ok(), "{requests} requests");
+            drop(served.client);
+        }
+        // A response that was written just now may not have been read: its connection is read on.
+        let recent = ServedConnection::start();
+        recent.send(REQUEST);
+        recent.reach(1, Phase::Idle).await;
+        recent.shutdown_phase.send_replace(ShutdownPhase::Closing);
+        recent.reach(1, Phase::Lingering).await;
+        assert_eq!(recent.responses().await, 1);
+    };
+    tokio::task::LocalSet::new().run_until(all).await;
+}
+
 /// A full table evicted a connection on which a request had just arrived, and its client saw a reset.
 #[tokio::test]
 async fn room_is_made_by_a_connection_on_which_no_request_has_arrived() {
--- a/crates/cache-balancer/src/fronts/connections/tracked.rs
+++ b/crates/cache-balancer/src/fronts/connections/tracked.rs
@@ -114,6 +114,10 @@
         match self.state.phase() {
             Phase::ReadingRequest => {}
             Phase::New | Phase::Idle if self.state.has_unread() => {}
+            Phase::New | Phase::Idle if !self.state.responded_recently() => {
+                self.state.close_at_once();
+                close(serving);
+            }
             _ => close(serving),
         }
     }
