--- a/crates/cache-balancer/tests/scenario.rs
+++ b/crates/cache-balancer/tests/scenario.rs
@@ -5,6 +5,8 @@
 use common::{command, run_program, utf8, wait_for, TempDir};
 use std::io::{BufReader, Read};
 use std::process::{Command, Output, Stdio};
+use std::thread;
+use std::time::Duration;
 
 /// The output of the program with these arguments; what runs, runs in virtual time.
 fn cache_balancer(arguments: &[&str]) -> Output {
@@ -179,6 +181,37 @@
     assert_eq!(json["partial"], false);
 }
 
+/// How long the player is held up, once a second, and how often.
+const HELD_UP: Duration = Duration::from_millis(150);
+const TIMES_HELD_UP: u32 = 3;
+
+/// Answers that the player had no processor time to read were reported as late or missing.
+#[test]
+fn a_player_that_is_held_up_blames_no_node() {
+    let folder = TempDir::new();
+    let file = script_file(&folder, "held-up.toml", &format!("{SHORT}[load]\nrate = 200\n"));
+    let mut command = command();
+    command.args(["scenario", &file, "--player=sockets", "--json"]);
+    let player = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
+    let id = player.id().to_string();
+    let signal = |name| assert!(Command::new("kill").args([name, id.as_str()]).status().unwrap().success());
+    for _ in 0..TIMES_HELD_UP {
+        thread::sleep(Duration::from_secs(1));
+        signal("-STOP");
+        thread::sleep(HELD_UP);
+        signal("-CONT");
+    }
+    let played = player.wait_with_output().unwrap();
+    if played.status.code() == Some(3) {
+        eprintln!("not judged: void");
+        return;
+    }
+    let json: serde_json::Value = serde_json::from_slice(&played.stdout).unwrap();
+    let verdict = &json["verdict"];
+    assert_eq!(verdict["broken"], serde_json::json!([0, 0, 0, 0]), "{}", verdict["breaches"]);
+    assert!(verdict["answers"][0].as_u64() > Some(300), "{verdict}");
+}
+
 /// Processes outlived the run that started them, and a part of a run passed for the whole.
 #[test]
 fn an_interrupted_run_reports_it_and_leaves_no_process_behind() {
