Return bytes that were read though their arrival cannot be told

A read whose control message came cut short would have ended with an error, and its bytes been lost with the connection. Only one message is asked for, so this was not seen; found on a second reading. Now such a read tells no wait.

--- a/crates/arrival-time/src/lib.rs
+++ b/crates/arrival-time/src/lib.rs
@@ -55,10 +55,13 @@
         socket.try_io(Interest::READABLE, || {
             let mut parts = [IoSliceMut::new(buffer)];
             let message = recvmsg::<()>(socket.as_raw_fd(), &mut parts, Some(control), MsgFlags::empty())?;
-            let arrived_at = message.cmsgs()?.find_map(|control_message| match control_message {
-                ControlMessageOwned::ScmTimestampns(time) => Some(time),
-                _ => None,
+            let arrived_at = message.cmsgs().ok().and_then(|mut control_messages| {
+                control_messages.find_map(|control_message| match control_message {
+                    ControlMessageOwned::ScmTimestampns(time) => Some(time),
+                    _ => None,
+                })
             });
+            // The bytes are read, whatever came beside them.
             Ok(Received { bytes: message.bytes, waited: arrived_at.map(waited).unwrap_or_default() })
         })
     }
