Take the reopening after failed trials back: it breaks a bound of mass-replacement

The bound stays.

Cause: servers that had been blocked for good are tried again.

The decisions are as they were.

--- a/crates/balancer-core/src/balance/attempt_results.rs
+++ b/crates/balancer-core/src/balance/attempt_results.rs
@@ -164,7 +164,7 @@
         server.concurrency.on_result(assessment);
     }
 
-    /// Ejects the class from the server where it fails there and not elsewhere, or fails a trial.
+    /// Ejects the class from the server where it fails there and not elsewhere.
     fn record_class(
         &mut self,
         now: Timestamp,
@@ -175,16 +175,17 @@
         let class = ended.class;
         let outlier_detection = &mut self.servers[index].outlier_detection;
         let opens = outlier_detection.on_class_result(class, ended.epochs, ended.assessment, now);
-        let on_trial = outlier_detection.class_state(class).is_half_open();
-        if opens && (on_trial || is_class_outlier(self.servers.as_slice(), index, class, now)) {
+        if opens && is_class_outlier(self.servers.as_slice(), index, class, now) {
             self.servers[index].outlier_detection.eject_class(class, now);
             let server = &ended.outcome.server;
             actions.push(Action::Log(format!("breaker of {server} tripped for class {class}")));
         }
     }
 
-    /// Ejects the server where it fails and others do not. Where others fail as well, a closed breaker stays
-    /// closed. One on trial opens again: it takes nothing from the server but the places of its trials.
+    /// Ejects the server where it fails and others do not. Where others fail as well, the breaker stays as it
+    /// is, and a failed trial keeps its place: see [`CircuitBreaker::on_result`].
+    ///
+    /// [`CircuitBreaker::on_result`]: super::circuit_breaker::CircuitBreaker::on_result
     fn record_server(
         &mut self,
         now: Timestamp,
@@ -194,8 +195,7 @@
     ) {
         let outlier_detection = &mut self.servers[index].outlier_detection;
         let opens = outlier_detection.on_server_result(ended.epochs, ended.assessment, now);
-        let on_trial = outlier_detection.server_state().is_half_open();
-        if opens && (on_trial || is_server_outlier(self.servers.as_slice(), index, now)) {
+        if opens && is_server_outlier(self.servers.as_slice(), index, now) {
             self.servers[index].outlier_detection.eject_server(now);
             actions.push(Action::Log(format!("breaker of {} tripped", ended.outcome.server)));
         }
--- a/crates/balancer-core/src/balance/circuit_breaker.rs
+++ b/crates/balancer-core/src/balance/circuit_breaker.rs
@@ -51,13 +51,6 @@
     },
 }
 
-impl BreakerState {
-    /// Whether calls are admitted as trials only.
-    pub fn is_half_open(self) -> bool {
-        matches!(self, Self::HalfOpen { .. })
-    }
-}
-
 /// A circuit breaker. Its caller opens it, since what it guards may fail for a cause that is not its own.
 #[derive(Debug)]
 pub struct CircuitBreaker {
@@ -144,8 +137,11 @@
     /// failed trial, or when enough calls of a window have failed. `min_calls` is the fewest calls that
     /// suffice for that.
     ///
-    /// After a failed trial its caller has to open it: otherwise the trial's place stays taken, and after
-    /// `TRIALS` of them [`Self::admits`] is false for good.
+    /// A caller that does not open it, because other servers fail as well, leaves the failed trial's place
+    /// taken. After `TRIALS` such trials [`Self::admits`] is false until the breaker is opened, closed or
+    /// replaced. Of a server's breaker: until its next incarnation, its removal from the list or a state
+    /// hand-over, unless attempts that are sent past the breaker, as a last resort, succeed often enough to
+    /// close it or fail alone.
     pub fn on_result(&mut self, epoch: u32, result: CallResult, min_calls: u32, now: Timestamp) -> bool {
         if epoch != self.epoch {
             return false;
--- a/crates/balancer-core/src/balance/outlier_detection.rs
+++ b/crates/balancer-core/src/balance/outlier_detection.rs
@@ -67,11 +67,6 @@
         self.server.state()
     }
 
-    /// State of the breaker of a class.
-    pub fn class_state(&self, class: usize) -> BreakerState {
-        self.classes[class].state()
-    }
-
     /// Closes the breakers of a server that has restarted.
     pub fn reset(&mut self, now: Timestamp) {
         self.server.close(now);
