Review, case 1: the same fault lets an unsafe write run twice

A late second copy of an answer that turns a request away is read as the answer to the next request, which then counts as never run and is sent to another server.

Nothing outside review/ is changed.

--- /dev/null
+++ b/review/1/twice.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Beside run.sh: the same disruption, and the rule on duplicates. Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
+set -eu
+here=$(cd "$(dirname "$0")" && pwd)
+root=$(cd "$here/../.." && pwd)
+run=$(sed -n 's/^run = "\(.*\)"$/\1/p' "$root/deploy/balancer.toml")
+program="$root/review/standins/target/release/twice"
+[ -n "$run" ] && [ -x "$program" ] || { echo "cannot run: build the project and review/build.sh first" >&2; exit 2; }
+exec "$program" "$here" "$root" "$run"
