Review: run.sh names its record; cases 2 and 3 inside tighter limits

Cause: run.sh left the name of the record to its program. Case 2 had only slow clients, which wrote for 1.4 s, and case 3 an outage of 20 s where STANDING.md has 8 s. The records of both left out what ordinary clients sent and what servers ran.

Change: run.sh gives the path of record.txt. Case 2: slow clients write for 0.9 s beside as many ordinary ones, and SIGKILL is counted from when SIGTERM has been sent. Case 3: an outage of 8 s, the drain 0.5 s after it. The records have each request that was sent, answered and run; that of case 1 has the connection. The checks are as they were.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -6,4 +6,5 @@
 run=$(sed -n 's/^run = "\(.*\)"$/\1/p' "$root/deploy/balancer.toml")
 program="$root/review/standins/target/release/foreign"
 [ -n "$run" ] && [ -x "$program" ] || { echo "cannot run: build the project and review/build.sh first" >&2; exit 2; }
-exec "$program" "$here" "$root" "$run"
+# The program starts the node and the stand-ins, writes record.txt and ends all that it started.
+exec "$program" "$here/record.txt" "$root" "$run"
--- a/review/standins/src/bin/foreign.rs
+++ b/review/standins/src/bin/foreign.rs
@@ -26,18 +26,21 @@
 fn cache_server(id: &'static str, trouble: bool, record: Record, made: Arc<Mutex<HashMap<String, String>>>) -> SocketAddr {
     let (listener, address) = listen();
     let answers = AtomicU64::new(0);
+    let connections = AtomicU64::new(0);
     serve(listener, move |mut stream: TcpStream| {
+        let number = connections.fetch_add(1, Ordering::Relaxed);
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         while let Ok(Some(request)) = Message::read(&mut reader) {
             let request_id = request.header("req-id").unwrap_or_default().to_owned();
             let body = format!("made by {id} for {request_id}, key {}", path_key(&request));
             made.lock().unwrap().insert(request_id.clone(), body.clone());
+            record.line(format!("{id}, connection {number}: got {request_id}"));
             thread::sleep(WORK);
             let text = response("200 OK", "Srv-Load: latency_ms=30,queue=0\r\n", &body);
             if stream.write_all(text.as_bytes()).is_err() {
                 return;
             }
-            record.line(format!("{id} ran and answered {request_id}"));
+            record.line(format!("{id}, connection {number}: ran and answered {request_id}"));
             if trouble && answers.fetch_add(1, Ordering::Relaxed) % EVERY == EVERY - 1 {
                 thread::sleep(LATE);
                 // Only while nothing else waits on the connection.
@@ -45,7 +48,7 @@
                     if stream.write_all(text.as_bytes()).is_err() {
                         return;
                     }
-                    record.line(format!("{id} sent a second copy of the answer to {request_id}"));
+                    record.line(format!("{id}, connection {number}: second copy of the answer to {request_id}"));
                 }
             }
         }
--- a/review/standins/src/bin/outage.rs
+++ b/review/standins/src/bin/outage.rs
@@ -12,10 +12,10 @@
 /// Node processes of this run, and nodes in the settings: kingston-lookup has 56 to 69 today.
 const NODES: usize = 48;
 const BALANCERS: u32 = 60;
-/// STANDING.md has 8 s, and `longer outages of discovery`.
-const OUTAGE: Duration = Duration::from_secs(20);
+/// STANDING.md has 8 s.
+const OUTAGE: Duration = Duration::from_secs(8);
 /// From the return of discovery to the drain.
-const DRAIN_AFTER: Duration = Duration::from_secs(1);
+const DRAIN_AFTER: Duration = Duration::from_millis(500);
 /// A change counts as told this long after discovery had it and could be reached.
 const TOLD_AFTER: Duration = Duration::from_secs(6);
 const GRACE: Duration = Duration::from_millis(500);
@@ -48,6 +48,7 @@
             thread::sleep(Duration::from_millis(30));
             let body = format!("made by {id} for {request_id}");
             let text = response("200 OK", "Srv-Load: latency_ms=30,queue=0\r\n", &body);
+            record.line(format!("{id} ran and answers {request_id} from n{node}"));
             if stream.write_all(text.as_bytes()).is_err() {
                 return;
             }
@@ -107,6 +108,7 @@
         .enumerate()
         .map(|(number, node)| {
             let (address, stop, node_of, served) = (node.address, stop.clone(), node_of.clone(), served.clone());
+            let record = setup.record.clone();
             thread::spawn(move || {
                 let mut connection: Option<Client> = None;
                 let mut key = (number as u64) << 32;
@@ -119,7 +121,10 @@
                     }
                     if let Some(client) = &mut connection {
                         let key = key.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 12;
+                        record.line(format!("client of n{number} sent {id}"));
                         let answer = client.exchange(&read_request("entry-view", key, &id, 330));
+                        let end = answer.as_ref().map_or_else(ToString::to_string, |answer| answer.start.clone());
+                        record.line(format!("client of n{number}: {id}: {end}"));
                         served.fetch_add(u64::from(matches!(&answer, Ok(answer) if answer.status() == Some(200))), Ordering::Relaxed);
                         if !matches!(&answer, Ok(answer) if !answer.closes()) {
                             connection = None;
--- a/review/standins/src/bin/slowterm.rs
+++ b/review/standins/src/bin/slowterm.rs
@@ -3,6 +3,7 @@
 use review_standins::*;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -11,20 +12,23 @@
 const LANES: [Lane; 3] = [
     Lane { name: "entry-view", effect: "safe", promise_ms: 300, hard_limit_ms: 600, repeat_window_ms: 5000, worth: 5.0 },
     Lane { name: "name-check", effect: "safe", promise_ms: 150, hard_limit_ms: 500, repeat_window_ms: 5000, worth: 2.0 },
-    Lane { name: "cert-build", effect: "safe", promise_ms: 500, hard_limit_ms: 1000, repeat_window_ms: 5000, worth: 5.0 },
+    Lane { name: "cert-build", effect: "safe", promise_ms: 350, hard_limit_ms: 700, repeat_window_ms: 5000, worth: 5.0 },
 ];
 /// SIGKILL comes no sooner than the longest deadline and 0.7 s more after SIGTERM.
-const KILL_AFTER: Duration = Duration::from_millis(1000 + 700 + 50);
+const KILL_AFTER: Duration = Duration::from_millis(700 + 700 + 20);
 /// What SIGKILL finds unanswered is lost if it came more than this after SIGTERM.
 const LAST: Duration = Duration::from_millis(700);
 /// The work of a `cert-build`; the brief has 140 to 250 ms.
-const WORK: Duration = Duration::from_millis(250);
+const WORK: Duration = Duration::from_millis(240);
 /// From the first byte of a slow request to its last.
-const WRITING: Duration = Duration::from_millis(1400);
-const PIECES: u32 = 14;
+const WRITING: Duration = Duration::from_millis(900);
+const PIECES: u32 = 10;
 /// A try is given up after 50 to 60% of the class's deadline.
-const DEADLINE_MS: u64 = 600;
+const DEADLINE_MS: u64 = 420;
+/// Clients that write slowly, each on a connection of its own.
 const CLIENTS: u32 = 14;
+/// Ordinary clients, one request after the other.
+const ORDINARY: u32 = 14;
 const ROUNDS: u32 = 3;
 
 type Moment = Arc<Mutex<Option<Instant>>>;
@@ -36,7 +40,9 @@
         while let Ok(Some(request)) = Message::read(&mut reader) {
             let request_id = request.header("req-id").unwrap_or_default().to_owned();
             record.line(format!("{id} got {request_id}"));
-            thread::sleep(WORK);
+            // A cache server is not told the class; the keys of the certificates begin with 1.
+            let is_build = path_key(&request).starts_with('1');
+            thread::sleep(if is_build { WORK } else { Duration::from_millis(40) });
             let text = response("200 OK", "Srv-Load: latency_ms=250,queue=0\r\n", &format!("made for {request_id}"));
             if stream.write_all(text.as_bytes()).is_err() {
                 return;
@@ -68,17 +74,25 @@
                 let (record, address) = (setup.record.clone(), node.address);
                 let (terminated, killed) = (terminated.clone(), killed.clone());
                 thread::spawn(move || {
-                    // The clients begin one after the other, from 1 s before SIGTERM to 0.3 s after it: new
+                    // They begin one after the other, from 0.9 s before SIGTERM to 0.39 s after it: new
                     // connections go on coming for 0.2 to 0.4 s.
-                    thread::sleep(Duration::from_millis(100) * number);
+                    thread::sleep(Duration::from_millis(100) * number + Duration::from_millis(90));
                     slow_client(&record, address, &terminated, &killed, round * CLIENTS + number)
                 })
             })
             .collect();
+        let stop = Arc::new(AtomicBool::new(false));
+        let ordinary: Vec<_> = (0..ORDINARY)
+            .map(|number| {
+                let (record, address, stop) = (setup.record.clone(), node.address, stop.clone());
+                thread::spawn(move || ordinary_client(&record, address, &stop, number))
+            })
+            .collect();
         thread::sleep(Duration::from_millis(1000));
         if setup.trouble {
-            let now = Instant::now();
             node.signal("TERM");
+            // Counted from when the signal has been sent, so that SIGKILL is not too early.
+            let now = Instant::now();
             *terminated.lock().unwrap() = Some(now);
             setup.record.line(format!("SIGTERM to {name}"));
             thread::sleep(KILL_AFTER.saturating_sub(now.elapsed()));
@@ -87,6 +101,9 @@
             node.kill();
             setup.record.line(format!("{name}: {}", if ended { "has ended by itself" } else { "SIGKILL" }));
         }
+        thread::sleep(Duration::from_millis(if setup.trouble { 0 } else { 1420 }));
+        stop.store(true, Ordering::SeqCst);
+        ordinary.into_iter().for_each(|client| drop(client.join()));
         for client in clients {
             let (was_taken, was_lost) = client.join().unwrap_or((0, 0));
             taken += was_taken;
@@ -104,12 +121,35 @@
     verdict(setup, lost > 0, &summary)
 }
 
+/// Sends one request after the other, until the node takes no more connections or `stop` is set.
+fn ordinary_client(record: &Record, node: SocketAddr, stop: &AtomicBool, number: u32) {
+    let mut connection: Option<Client> = None;
+    while !stop.load(Ordering::SeqCst) {
+        let id = new_id();
+        if connection.is_none() {
+            connection = Client::connect(node).ok();
+        }
+        let Some(client) = &mut connection else { return };
+        record.line(format!("ordinary client {number} sent {id}"));
+        let answer = client.exchange(&read_request("entry-view", u64::from(number) * 31 + 7, &id, 330));
+        let end = answer.as_ref().map_or_else(ToString::to_string, |answer| answer.start.clone());
+        record.line(format!("ordinary client {number}: {id}: {end}"));
+        if !matches!(&answer, Ok(answer) if !answer.closes()) {
+            connection = None;
+        }
+        thread::sleep(Duration::from_millis(60));
+    }
+}
+
 /// Writes one request in pieces. Returns whether it was written whole, and whether it was lost: SIGKILL found it
 /// unanswered, and it came more than 0.7 s after SIGTERM.
 fn slow_client(record: &Record, node: SocketAddr, terminated: &Moment, killed: &Moment, number: u32) -> (u32, u32) {
     let id = new_id();
-    let text = read_request("cert-build", u64::from(number) * 7919 + 1, &id, DEADLINE_MS);
+    let text = read_request("cert-build", (1 << 60) + u64::from(number) * 7919, &id, DEADLINE_MS);
     let Ok(mut client) = Client::connect(node) else { return (0, 0) };
+    let connected = Instant::now();
+    let term = || terminated.lock().unwrap().map(|at| connected.saturating_duration_since(at));
+    record.line(format!("client {number} connects and begins {id}, {:?} after SIGTERM", term()));
     let size = text.len().div_ceil(PIECES as usize);
     for (index, piece) in text.as_bytes().chunks(size).enumerate() {
         if index > 0 {
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -42,7 +42,7 @@
     }
 }
 
-/// The arguments of a case: `CASE-FOLDER ROOT RUN-COMMAND`, and `TROUBLE` from the environment.
+/// The arguments of a case: `RECORD ROOT RUN-COMMAND`, and `TROUBLE` from the environment.
 pub struct Setup {
     pub record: Record,
     pub root: PathBuf,
@@ -54,10 +54,10 @@
 impl Setup {
     pub fn from_arguments() -> Self {
         let mut arguments = std::env::args().skip(1);
-        let mut next = || arguments.next().unwrap_or_else(|| cannot_run("usage: CASE-FOLDER ROOT RUN-COMMAND"));
-        let (case, root, run) = (PathBuf::from(next()), PathBuf::from(next()), next());
+        let mut next = || arguments.next().unwrap_or_else(|| cannot_run("usage: RECORD ROOT RUN-COMMAND"));
+        let (record, root, run) = (PathBuf::from(next()), PathBuf::from(next()), next());
         let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-        let record = Record::create(&case.join("record.txt"));
+        let record = Record::create(&record);
         record.line(format!("trouble: {trouble}"));
         Self { record, root, run, trouble, folder: TempFolder::create() }
     }
