--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,7 +4,7 @@
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 run=$(sed -n 's/^run = "\(.*\)"$/\1/p' "$root/deploy/balancer.toml")
-program="$root/review/standins/target/release/slowterm"
+program="$root/review/standins/target/release/outage"
 [ -n "$run" ] && [ -x "$program" ] || { echo "cannot run: build the project and review/build.sh first" >&2; exit 2; }
 # The program starts the node and the stand-ins, writes record.txt and ends all that it started.
 exec "$program" "$here/record.txt" "$root" "$run"
--- a/review/standins/src/bin/outage.rs
+++ b/review/standins/src/bin/outage.rs
@@ -1,4 +1,4 @@
-//! Case 3: discovery is away at its new address, and a cache server begins to drain after its return.
+//! Case 2: discovery is away at its new address, and a cache server begins to drain after its return.
 
 use review_standins::*;
 use std::collections::HashMap;
