Reuse a connection to a cache server only after a quiet period

Cause: a connection was reused as soon as its response was complete. The check before the first byte of a request finds bytes that have arrived, not those on their way; the copy was read as the response to the next request. A declined response read so made an executed write count as never executed.

Change: a connection is reused 25 ms after its last response at the earliest (upstream/idle.rs, new). Requests wait for one in its quiet period; after 250 ms of waiting in total one opens another connection, as does one with too little time. A copy that comes within 25 ms is then found before the next request, whatever the latency.

--- a/crates/cache-balancer/src/upstream/attempt.rs
+++ b/crates/cache-balancer/src/upstream/attempt.rs
@@ -117,7 +117,8 @@
         if !server.is_ready() {
             return Err(AttemptError::ServerNotReady);
         }
-        let connecting = timeout_at(condition.limit(deadline), self.acquire_connection(server, condition));
+        let limit = condition.limit(deadline);
+        let connecting = timeout_at(limit, self.acquire_connection(server, condition, limit));
         let mut connection = match connecting.await {
             Ok(connected) => connected?,
             // The end of a deduplication window is not a failure of the server.
--- a/crates/cache-balancer/src/upstream/mod.rs
+++ b/crates/cache-balancer/src/upstream/mod.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod connection;
+mod idle;
 mod limit;
 mod message;
 mod pool;
@@ -20,3 +21,6 @@
 
 /// Maximum size of a request body or a response body, in bytes.
 pub const MAX_BODY_BYTES: usize = 64 << 10;
+
+#[cfg(test)]
+mod tests;
--- a/crates/cache-balancer/src/upstream/pool.rs
+++ b/crates/cache-balancer/src/upstream/pool.rs
@@ -2,6 +2,7 @@
 //! does.
 
 use super::connection::{ConnectError, Connection};
+use super::idle::IdleConnections;
 use super::limit::{ConnectionLimit, ConnectionPermit};
 use super::message::StartCondition;
 use balancer_core::ServerId;
@@ -10,7 +11,7 @@
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 /// Idle connections are closed after the servers' idle timeout divided by this. A request sent on a
 /// connection that its server is about to close would be reset.
@@ -21,8 +22,7 @@
 pub(super) struct Server {
     address: Cell<SocketAddr>,
     ready: Rc<Cell<bool>>,
-    /// The idle connections; the most recently used one is last.
-    idle: RefCell<Vec<Connection>>,
+    idle: IdleConnections,
 }
 
 impl Server {
@@ -37,26 +37,11 @@
     }
 
     /// Keeps a connection without a request in flight for reuse, if the server is ready.
-    pub(super) fn add_idle(&self, mut connection: Connection) {
+    pub(super) fn add_idle(&self, connection: Connection) {
         if self.ready.get() && !connection.sender.is_closed() {
-            connection.progress.reused.set(true);
-            connection.idle_since = Instant::now();
-            self.idle.borrow_mut().push(connection);
+            self.idle.add(connection);
         }
     }
-
-    fn close_idle(&self) {
-        self.idle.borrow_mut().clear();
-    }
-
-    /// Returns when the longest-idle connection became idle, or `None` if no connection is idle.
-    fn oldest_idle_since(&self) -> Option<Instant> {
-        self.idle.borrow().first().map(|connection| connection.idle_since)
-    }
-
-    fn close_oldest_idle(&self) {
-        self.idle.borrow_mut().remove(0);
-    }
 }
 
 /// The connections to all cache servers of a pool.
@@ -93,11 +78,11 @@
             let moved = address.is_some_and(|address| server.address.replace(address) != address);
             server.ready.set(ready);
             if moved || !ready {
-                server.close_idle();
+                server.idle.close_all();
             }
         } else if let Some(address) = address {
             let (address, ready) = (Cell::new(address), Rc::new(Cell::new(ready)));
-            servers.insert(id.clone(), Rc::new(Server { address, ready, idle: RefCell::default() }));
+            servers.insert(id.clone(), Rc::new(Server { address, ready, idle: IdleConnections::default() }));
         }
     }
 
@@ -106,7 +91,7 @@
     pub fn remove_server(&self, id: &ServerId) {
         if let Some(server) = self.servers.borrow_mut().remove(id) {
             server.ready.set(false);
-            server.close_idle();
+            server.idle.close_all();
         }
     }
 
@@ -119,7 +104,7 @@
     /// Closes the idle connections to a server.
     pub fn close_idle(&self, id: &ServerId) {
         if let Some(server) = self.servers.borrow().get(id) {
-            server.close_idle();
+            server.idle.close_all();
         }
     }
 
@@ -129,7 +114,7 @@
             sleep(IDLE_CHECK_INTERVAL).await;
             let Some(upstream) = upstream.upgrade() else { return };
             for server in upstream.servers.borrow().values() {
-                server.idle.borrow_mut().retain(|connection| upstream.is_usable(connection));
+                server.idle.retain(|connection| upstream.is_usable(connection));
             }
         }
     }
@@ -139,24 +124,34 @@
         self.servers.borrow().get(id).cloned()
     }
 
-    /// Returns a connection for a request: the most recently used idle connection, or a new one.
+    /// Returns a connection for a request that starts by `limit`: an idle connection, or a new one.
     pub(super) async fn acquire_connection(
         &self,
         server: &Server,
         condition: &StartCondition,
+        limit: Instant,
     ) -> Result<Connection, ConnectError> {
-        loop {
-            let idle = server.idle.borrow_mut().pop();
-            let Some(mut idle) = idle else { break };
-            if self.is_usable(&idle) && idle.sender.ready().await.is_ok() {
-                return Ok(idle);
-            }
+        if let Some(idle) = self.reuse_connection(server, limit).await {
+            return Ok(idle);
         }
         let permit = self.acquire_permit()?;
         let timeout = self.connect_timeout.get();
         Connection::open(server.address.get(), server.ready.clone(), condition, permit, timeout).await
     }
 
+    /// Returns an idle connection, possibly after waiting until it may be reused. Returns `None` if a new
+    /// connection is needed.
+    async fn reuse_connection(&self, server: &Server, limit: Instant) -> Option<Connection> {
+        loop {
+            while let Some(mut idle) = server.idle.take_reusable() {
+                if self.is_usable(&idle) && idle.sender.ready().await.is_ok() {
+                    return Some(idle);
+                }
+            }
+            sleep_until(server.idle.wait_until(limit)?).await;
+        }
+    }
+
     fn is_usable(&self, connection: &Connection) -> bool {
         !connection.sender.is_closed() && connection.idle_since.elapsed() < self.idle_timeout.get()
     }
@@ -166,9 +161,9 @@
     fn acquire_permit(&self) -> Result<ConnectionPermit, ConnectError> {
         if self.limit.is_reached() {
             let servers = self.servers.borrow();
-            let idle = servers.values().filter_map(|server| Some((server.oldest_idle_since()?, server)));
+            let idle = servers.values().filter_map(|server| Some((server.idle.oldest_since()?, server)));
             let (_, server) = idle.min_by_key(|(since, _)| *since).ok_or(ConnectError::LimitReached)?;
-            server.close_oldest_idle();
+            server.idle.close_oldest();
         }
         Ok(ConnectionPermit::new(&self.limit))
     }
