Keep polling a discovery that fails polls for a whole list in time for its return

Cause: the pause before a poll for a whole list was bounded by the deadline for changes only for the first five failures where discovery had been reached (status 503, a closed connection). From then on it was drawn from up to 250 ms for each node.

Change: the bound holds while discovery may be down (ten minutes without a list), and for good in fleets whose polls leave it capacity (45 nodes). From the sixth failure on pauses are drawn from the upper quarter of the step, 2.6 s on average in place of 1.5 s. Closed connections and other statuses are told apart from unusable lists (PollOutcome::Unanswered). The same fault with a configured capacity (27 s at one node): bounded where the capacity suffices for all lists.

The four tests of discovery_outage.rs fail with the bound lifted after five polls. single_address.rs compares with the schedule before replicas; it now states exactly the pauses that differ from it, and compares all others as before.

--- a/crates/balancer-core/src/discovery/backoff.rs
+++ b/crates/balancer-core/src/discovery/backoff.rs
@@ -6,8 +6,10 @@
 //! nodes together poll about as often as discovery can answer.
 //!
 //! Regardless of the outcome of a poll, a node counts as notified of a change [`NOTIFICATION_DEADLINE`] after
-//! discovery has the change and is reachable. The pause before a watch, and after a poll that did not reach
-//! discovery, is therefore bounded so that the next poll can be answered in time.
+//! discovery has the change and is reachable. A pause is therefore bounded so that the next poll can be
+//! answered in time, however many polls have failed: from a failed poll a node cannot tell whether discovery is
+//! down, and will be back at any moment, or overloaded. The bound is lifted for snapshots that discovery may
+//! have no capacity for, but only once it has refused them for longer than an outage is expected to last.
 //!
 //! If the operator configures the capacity of a replica, [`ReplicaShare`](super::ReplicaShare) bounds the
 //! pause instead.
@@ -27,9 +29,14 @@
 /// Number of failed polls after a lost watch that are retried as soon as in a small fleet. The changes that
 /// the watch missed have a deadline, and the random waits of the watches already spread the nodes.
 const URGENT_RETRIES: u32 = 2;
-/// Number of consecutive failed snapshot polls whose pause is bounded like that of a watch. These pauses take
-/// 1.5 s each on average; a discovery that has sent no list by then must be polled less.
-const BOUNDED_SNAPSHOT_RETRIES: u32 = 5;
+/// Number of consecutive failed snapshot polls after which discovery is polled less. The pauses until then
+/// take 1.5 s each on average.
+const FREQUENT_SNAPSHOT_RETRIES: u32 = 5;
+/// The least part of the step that is drawn as a pause after [`FREQUENT_SNAPSHOT_RETRIES`]. The polls of all
+/// nodes then leave more of the capacity of discovery to answers, and are still spread over a part of the step.
+const MIN_LATER_PAUSE_FRACTION: f64 = 0.75;
+/// Time for which a discovery that sends no lists is taken to be down rather than overloaded.
+const MAX_OUTAGE: Duration = Duration::from_secs(600);
 
 /// Base of the steps, which double with each failure: the pause after the first failure is at most twice
 /// this.
@@ -61,6 +68,8 @@
     /// Whether discovery answered that it is overloaded.
     overloaded: bool,
     timed_out: bool,
+    /// Whether the answer was a list that cannot be used.
+    unusable: bool,
     /// Time from the poll to its failure; zero where the pause does not depend on it.
     took: Duration,
 }
@@ -68,13 +77,20 @@
 impl FailedPoll {
     /// Returns `None` if the poll was answered with a list.
     pub(super) fn new(poll: Poll, outcome: PollOutcome) -> Option<Self> {
-        let failed = Self { reached: true, overloaded: false, timed_out: false, took: Duration::ZERO };
+        let failed = Self {
+            reached: true,
+            overloaded: false,
+            timed_out: false,
+            unusable: false,
+            took: Duration::ZERO,
+        };
         match outcome {
             PollOutcome::Answered { .. } => None,
             PollOutcome::TimedOut => Some(Self { timed_out: true, took: poll.timeout, ..failed }),
             PollOutcome::Unreachable { took } => Some(Self { reached: false, took, ..failed }),
             PollOutcome::Overloaded { took } => Some(Self { overloaded: true, took, ..failed }),
-            PollOutcome::Failed => Some(failed),
+            PollOutcome::Unanswered { took } => Some(Self { took, ..failed }),
+            PollOutcome::Failed => Some(Self { unusable: true, ..failed }),
         }
     }
 
@@ -151,10 +167,14 @@
         next: PollKind,
     ) -> Option<Duration> {
         let share = pacing.share.filter(|_| failed.reached)?;
+        let answered_within = NOTIFICATION_DEADLINE - SERVER_QUEUE_TIMEOUT;
         match next {
-            PollKind::Snapshot => Some(share.snapshot_pause_limit(self.refused_for)),
+            PollKind::Snapshot => {
+                let limit = share.snapshot_pause_limit(self.refused_for);
+                let all_in_time = share.all_snapshots_time() <= answered_within;
+                Some(if all_in_time { limit.min(deadline_limit(pacing.settings, failed)) } else { limit })
+            }
             PollKind::Watch => {
-                let answered_within = NOTIFICATION_DEADLINE - SERVER_QUEUE_TIMEOUT;
                 let limit = share.watch_pause_limit(self.refused_for, answered_within);
                 limit.filter(|_| failed.overloaded && !self.is_urgent())
             }
@@ -170,19 +190,30 @@
         jitter: f64,
     ) -> Duration {
         let nodes = if self.is_urgent() { 1 } else { settings.nodes };
-        let limit = if self.must_meet_deadline(failed, next) {
-            deadline_limit(settings, failed)
+        let in_time = self.must_meet_deadline(settings, failed, next);
+        let limit = if in_time { deadline_limit(settings, failed) } else { Duration::MAX };
+        let least = if in_time && failed.reached && next == PollKind::Snapshot && !self.retries_frequently() {
+            MIN_LATER_PAUSE_FRACTION
         } else {
-            Duration::MAX
+            0.0
         };
+        let jitter = least + (1.0 - least) * unit_fraction(jitter);
         pause(settings, nodes, self.failures, next, limit, jitter)
     }
 
-    /// Returns whether the next poll must be in time for [`NOTIFICATION_DEADLINE`]. Snapshots are exempt
-    /// after some failures: a discovery that keeps failing may be unable to send them, and failing polls
-    /// would use up its capacity. An unreachable discovery loses no capacity to polls.
-    fn must_meet_deadline(self, failed: FailedPoll, next: PollKind) -> bool {
-        next == PollKind::Watch || !failed.reached || self.failures <= BOUNDED_SNAPSHOT_RETRIES
+    /// Returns whether the next poll must be in time for [`NOTIFICATION_DEADLINE`].
+    fn must_meet_deadline(self, settings: PollSettings, failed: FailedPoll, next: PollKind) -> bool {
+        let may_be_down = !failed.unusable && self.refused_for <= MAX_OUTAGE;
+        next == PollKind::Watch
+            || !failed.reached
+            || may_be_down
+            || self.retries_frequently()
+            || has_capacity_for_retries(settings, failed)
+    }
+
+    /// Returns whether so few polls have failed that snapshots are polled for as often as changes.
+    fn retries_frequently(self) -> bool {
+        self.failures <= FREQUENT_SNAPSHOT_RETRIES
     }
 
     /// Returns whether the poll must be retried soon, since the changes that a lost watch missed have a
@@ -192,6 +223,13 @@
     }
 }
 
+/// Returns whether discovery can take a poll of every node in the time from one poll of a node to the next, if
+/// the pauses are bounded by the deadline.
+fn has_capacity_for_retries(settings: PollSettings, failed: FailedPoll) -> bool {
+    let least_pause = deadline_limit(settings, failed).mul_f64(MIN_LATER_PAUSE_FRACTION);
+    WATCH_COST.saturating_mul(settings.nodes) <= failed.took + least_pause
+}
+
 /// Returns the longest step with which the next poll is in time for [`NOTIFICATION_DEADLINE`]. The time that
 /// the failed poll took counts against the deadline, unless discovery answered that it is overloaded:
 /// discovery may have come back right after that poll was sent.
--- a/crates/balancer-core/src/discovery/client.rs
+++ b/crates/balancer-core/src/discovery/client.rs
@@ -103,7 +103,10 @@
         match outcome {
             PollOutcome::Answered { .. } => Self::Answered,
             PollOutcome::Overloaded { .. } => Self::Overloaded,
-            PollOutcome::TimedOut | PollOutcome::Unreachable { .. } | PollOutcome::Failed => Self::Failed,
+            PollOutcome::TimedOut
+            | PollOutcome::Unreachable { .. }
+            | PollOutcome::Unanswered { .. }
+            | PollOutcome::Failed => Self::Failed,
         }
     }
 }
--- a/crates/balancer-core/src/discovery/poll_schedule.rs
+++ b/crates/balancer-core/src/discovery/poll_schedule.rs
@@ -57,7 +57,12 @@
         /// Time from the request to the answer.
         took: Duration,
     },
-    /// The poll failed in another way: another status, a broken connection, or a list that was rejected.
+    /// Discovery ended the poll without a list: with another status, or by closing the connection.
+    Unanswered {
+        /// Time from the request to the end.
+        took: Duration,
+    },
+    /// An answer cannot be used: a list that is malformed or was rejected.
     Failed,
 }
 
--- a/crates/balancer-core/src/discovery/replica_capacity.rs
+++ b/crates/balancer-core/src/discovery/replica_capacity.rs
@@ -73,6 +73,11 @@
         self.sending_time(self.capacity.call_lines + f64::from(self.known_or_assumed_lines()))
     }
 
+    /// Returns how long the replica is busy with one snapshot for each of its nodes.
+    pub fn all_snapshots_time(self) -> Duration {
+        self.snapshot_time().saturating_mul(self.nodes)
+    }
+
     /// Returns the factor, 1 or more, by which the waits of watches are stretched so that idle watches use at
     /// most half of the replica's capacity. `mean_wait` is the mean wait without stretching.
     pub fn watch_stretch(self, mean_wait: Duration) -> f64 {
@@ -97,8 +102,7 @@
     /// `refused_for`.
     pub fn snapshot_pause_limit(self, refused_for: Duration) -> Duration {
         let elapsed = refused_for.as_secs_f64();
-        let all_snapshots = self.snapshot_time().as_secs_f64() * f64::from(self.nodes);
-        let mut total = all_snapshots.max(MIN_PAUSE_LIMIT.as_secs_f64());
+        let mut total = self.all_snapshots_time().as_secs_f64().max(MIN_PAUSE_LIMIT.as_secs_f64());
         // The estimate is too low: the list is longer than assumed, the replica was unreachable for a while,
         // or more nodes than its share poll it.
         while total <= elapsed {
--- a/crates/balancer-core/tests/poll_schedule.rs
+++ b/crates/balancer-core/tests/poll_schedule.rs
@@ -159,6 +159,7 @@
                 2 => PollOutcome::Answered { took: Duration::ZERO, has_changes: false },
                 3 => PollOutcome::TimedOut,
                 4 => PollOutcome::Unreachable { took: QUEUE_TIMEOUT.mul_f64(jitter) },
+                5 => PollOutcome::Unanswered { took: QUEUE_TIMEOUT.mul_f64(jitter) },
                 _ => PollOutcome::Failed,
             };
             let early = outcome == PollOutcome::Answered { took: Duration::ZERO, has_changes: false } && is_watch;
@@ -168,7 +169,7 @@
                 PollOutcome::TimedOut if is_watch => {
                     prop_assert!(poll.timeout + pause + Duration::from_secs(1) <= poll.wait + MISSED_EVENT_DEADLINE);
                 }
-                PollOutcome::TimedOut | PollOutcome::Failed => {
+                PollOutcome::TimedOut | PollOutcome::Failed | PollOutcome::Unanswered { .. } => {
                     let limit = (settings.max_poll_interval * 2).min(NOTIFICATION_DEADLINE / 2);
                     prop_assert!(!pause.is_zero() && (!is_watch || pause <= limit));
                 }
--- a/crates/balancer-core/tests/single_address.rs
+++ b/crates/balancer-core/tests/single_address.rs
@@ -40,6 +40,39 @@
     }
 }
 
+/// Returns how long a poll with this outcome counts to have taken for the next pause.
+fn time_taken(outcome: PollOutcome, timeout: Duration) -> Duration {
+    match outcome {
+        PollOutcome::TimedOut => timeout,
+        PollOutcome::Overloaded { took } | PollOutcome::Unanswered { took } => took,
+        PollOutcome::Answered { .. } | PollOutcome::Unreachable { .. } | PollOutcome::Failed => {
+            Duration::ZERO
+        }
+    }
+}
+
+/// The pause before a snapshot poll after more than five failures, which differs from the reference: there it
+/// grew with the fleet, so that nodes learned of changes after their deadline once an outage was over. Now it
+/// is bounded by the deadline, unless discovery has sent unusable lists, or none for ten minutes, and may have
+/// no capacity for the polls of all nodes. Returns `None` if the pause is that of the reference.
+fn pause_of_later_snapshot_poll(
+    settings: PollSettings,
+    failures: u32,
+    outcome: PollOutcome,
+    timeout: Duration,
+    refused_for: Duration,
+    jitter: f64,
+) -> Option<Duration> {
+    let took = time_taken(outcome, timeout);
+    let counted = if matches!(outcome, PollOutcome::Overloaded { .. }) { Duration::ZERO } else { took };
+    let left = Duration::from_secs(3).saturating_sub(counted);
+    let limit = left.max(Duration::from_millis(200)).min(settings.max_poll_interval * 2);
+    let may_be_down = outcome != PollOutcome::Failed && refused_for <= Duration::from_secs(600);
+    let has_capacity = Duration::from_millis(50) * settings.nodes <= took + limit.mul_f64(0.75);
+    let step = reference::backoff(settings.nodes, failures, false, 1.0).min(limit);
+    (may_be_down || has_capacity).then(|| step.mul_f64(0.75 + 0.25 * jitter))
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(1_000))]
     /// Operators with one address were promised that replicas change nothing for them. A different wait or
@@ -60,13 +93,18 @@
         let pacing = |client: &DiscoveryClient| {
             PollPacing::new(settings, client.replicas().available(), None, Some(40))
         };
-        let mut is_watch = false;
+        let (mut is_watch, mut failures, mut refused_for) = (false, 0, Duration::ZERO);
         for (number, fraction, jitter, next_is_watch) in ends {
             let poll = client.next_poll(pacing(&client), kind(is_watch), jitter);
             let reference_poll = reference.next_poll(reference_settings, is_watch, jitter);
             prop_assert_eq!((poll.wait, poll.timeout), (reference_poll.wait, reference_poll.timeout));
             prop_assert!(client.answer_allowance(pacing(&client)).is_none());
             let (outcome, reference_outcome) = outcomes(number, poll, fraction);
+            let is_lost_watch = outcome == PollOutcome::TimedOut && !poll.wait.is_zero();
+            let is_failure = !is_lost_watch && !matches!(outcome, PollOutcome::Answered { .. });
+            let is_refusal = is_failure && !matches!(outcome, PollOutcome::Unreachable { .. });
+            failures = if is_failure { failures + 1 } else { 0 };
+            refused_for = if is_refusal { refused_for + time_taken(outcome, poll.timeout) } else { Duration::ZERO };
             is_watch = next_is_watch;
             let next = client.poll_ended(
                 Timestamp::from_micros(0),
@@ -78,7 +116,16 @@
             );
             let reference_pause =
                 reference.poll_ended(reference_settings, reference_poll, reference_outcome, is_watch, jitter);
-            prop_assert_eq!(next.pause, reference_pause);
+            let is_later_snapshot = failures > 5 && !is_watch && is_shared_service;
+            let later = (is_later_snapshot && is_refusal)
+                .then(|| {
+                    pause_of_later_snapshot_poll(settings, failures, outcome, poll.timeout, refused_for, jitter)
+                })
+                .flatten();
+            prop_assert_eq!(next.pause, later.unwrap_or(reference_pause));
+            if is_refusal {
+                refused_for += next.pause;
+            }
             prop_assert_eq!(next.transition, ReplicaTransition::Stay);
         }
         prop_assert_eq!(backoff(nodes, 7, PollKind::Watch, 0.5), reference::backoff(nodes, 7, true, 0.5));
--- a/crates/cache-balancer/src/discovery/error.rs
+++ b/crates/cache-balancer/src/discovery/error.rs
@@ -37,12 +37,8 @@
             Self::Status(StatusCode::SERVICE_UNAVAILABLE) => PollOutcome::Overloaded { took },
             Self::TimedOut => PollOutcome::TimedOut,
             Self::Connect(_) => PollOutcome::Unreachable { took },
-            Self::Http(_)
-            | Self::Request(_)
-            | Self::Body(_)
-            | Self::Status(_)
-            | Self::Malformed { .. }
-            | Self::Rejected(_) => PollOutcome::Failed,
+            Self::Http(_) | Self::Body(_) | Self::Status(_) => PollOutcome::Unanswered { took },
+            Self::Request(_) | Self::Malformed { .. } | Self::Rejected(_) => PollOutcome::Failed,
         }
     }
 }
