Test second copies of lists from discovery; share the configuration of property tests

Cause: the late second copies of cache servers' responses have a sibling, the connection to discovery, which is kept between polls. That a copy changes nothing there was read, not shown. And the configuration of property tests stood twice in the testbed.

Change: lists::second_copies_of_lists_delay_no_change sends each list twice, so that every copy is taken for the answer to the next poll, and changes three servers five times. testbed/tests/support/property_config.rs serves both files.

--- a/crates/cache-balancer/tests/common/discovery.rs
+++ b/crates/cache-balancer/tests/common/discovery.rs
@@ -4,8 +4,10 @@
 use super::wait::{wait_for, TIMEOUT};
 use serde_json::{json, Value};
 use std::io::Write;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::Duration;
 
 /// The current response to polls.
 struct CurrentResponse {
@@ -37,6 +39,28 @@
 
     /// Like [`Discovery::start`], at this address.
     pub fn start_at(address: SocketAddr, endpoints: &[Value]) -> Self {
+        Self::start_with(address, endpoints, |stream, response| stream.write_all(response.as_bytes()).is_ok())
+    }
+
+    /// Like [`Discovery::start`], with a second copy of each response, which is sent after the next poll has
+    /// had time to arrive.
+    pub fn start_with_second_copies(endpoints: &[Value]) -> Self {
+        Self::start_with((Ipv4Addr::LOCALHOST, 0).into(), endpoints, |stream, response| {
+            (0..2).all(|_| {
+                let sent = stream.write_all(response.as_bytes()).is_ok();
+                thread::sleep(Duration::from_millis(5));
+                sent
+            })
+        })
+    }
+
+    /// Starts a service that sends each response with `send`, which returns whether the connection is still
+    /// open.
+    fn start_with(
+        address: SocketAddr,
+        endpoints: &[Value],
+        send: impl Fn(&mut TcpStream, &str) -> bool + Send + Sync + 'static,
+    ) -> Self {
         let listener = TcpListener::bind(address).unwrap();
         let address = listener.local_addr().unwrap();
         let body = snapshot(1, endpoints);
@@ -53,7 +77,9 @@
                 .wait_timeout_while(latest.lock().unwrap(), TIMEOUT, |latest| latest.version <= after)
                 .unwrap()
                 .0;
-            stream.write_all(response("200 OK", "", &latest.body).as_bytes()).is_ok()
+            let text = response("200 OK", "", &latest.body);
+            drop(latest);
+            send(stream, &text)
         });
         Self { address, received, current }
     }
--- a/crates/cache-balancer/tests/lists.rs
+++ b/crates/cache-balancer/tests/lists.rs
@@ -259,3 +259,26 @@
     let polls = discovery.request_count() - before;
     assert!(polls < 200, "{polls} polls during 1000 reads");
 }
+
+/// A second copy of a list that is taken for the answer to the next poll changes nothing: lists name their
+/// version. Guards against a node that follows discovery one answer late, and sends requests to a server after
+/// it was notified that the server is draining.
+#[test]
+fn second_copies_of_lists_delay_no_change() {
+    let servers = [CacheServer::serving("0"), CacheServer::serving("1"), CacheServer::serving("2")];
+    let names = ["s-0", "s-1", "s-2"];
+    let entry = |index: usize, health: &str| servers[index].endpoint(names[index], health);
+    let discovery = Discovery::start_with_second_copies(&[entry(0, "ready"), entry(1, "ready")]);
+    let node = Node::start_ready(&config(discovery.address));
+    let changes = [(0, "draining"), (2, "ready"), (1, "draining"), (0, "ready"), (2, "draining")];
+    for (version, (index, health)) in (2..).zip(changes) {
+        let before = servers[index].request_count();
+        discovery.publish(false, &[entry(index, health)]);
+        discovery.wait_until_applied(version);
+        for key in 0..20 {
+            assert_eq!(node.read("read", key).status(), 200);
+        }
+        let received = servers[index].request_count() > before;
+        assert_eq!(received, health == "ready", "version {version}: {} is {health}", names[index]);
+    }
+}
--- a/crates/testbed/tests/control_plane.rs
+++ b/crates/testbed/tests/control_plane.rs
@@ -1,6 +1,10 @@
 //! The control plane in virtual time: outcomes that can be computed from the scene, and properties of every
 //! scene and seed.
 
+#[path = "support/property_config.rs"]
+mod property_config;
+
+use property_config::cases;
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -269,16 +273,6 @@
     )
 }
 
-/// Configures the number of cases, which the environment variable `PROPTEST_CASES` overrides.
-fn cases(default: u32) -> ProptestConfig {
-    let from_environment = std::env::var("PROPTEST_CASES").ok().and_then(|text| text.parse().ok());
-    ProptestConfig {
-        cases: from_environment.unwrap_or(default),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
     #![proptest_config(cases(64))]
 
--- a/crates/testbed/tests/properties.rs
+++ b/crates/testbed/tests/properties.rs
@@ -1,7 +1,11 @@
 //! Properties of every script: a text is parsed or its errors name lines, and a run keeps the rules and is
 //! reproducible.
 
+#[path = "support/property_config.rs"]
+mod property_config;
+
 use balancer_core::{DeduplicationScope, Idempotency};
+use property_config::cases;
 use proptest::prelude::*;
 use std::time::Duration;
 use testbed::report::Report;
@@ -114,16 +118,6 @@
     )
 }
 
-/// Returns a configuration with the number of cases from `PROPTEST_CASES`, or the default if it is not set.
-fn cases(default: u32) -> ProptestConfig {
-    let from_environment = std::env::var("PROPTEST_CASES").ok().and_then(|text| text.parse().ok());
-    ProptestConfig {
-        cases: from_environment.unwrap_or(default),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
     #![proptest_config(cases(512))]
 
