Test on sockets that a node which needs a whole list is notified in time after an outage

Cause: the fix of the pauses in an outage had tests in virtual time only; that a closed connection and status 503 reach the schedule as it expects was covered by no test.

Change: outage::every_process_that_needs_a_whole_list_is_notified_in_time_after_an_outage moves 20 processes of a fleet of 300 to new addresses of discovery by SIGHUP; half of these close connections, half answer 503, until each has failed eight polls.

--- a/crates/cache-balancer/tests/outage.rs
+++ b/crates/cache-balancer/tests/outage.rs
@@ -7,7 +7,7 @@
 use common::*;
 use serde_json::json;
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -17,9 +17,20 @@
 const NODES: usize = 20;
 /// Enough failures for a backoff that grows with the number of nodes to reach its longest step.
 const FAILURES: usize = 6;
+/// Enough failed polls for a whole list for the pauses between them to have reached their full length.
+const SNAPSHOT_FAILURES: usize = 8;
 
-/// A discovery service that closes every connection until `available` is set. It then reports that a server
-/// is draining, and reports no further changes.
+/// How a discovery service that is down ends a poll.
+#[derive(Clone, Copy, PartialEq)]
+enum FailureMode {
+    /// It closes the connection as soon as it is open.
+    ClosedConnection,
+    /// It answers with status 503.
+    Rejection,
+}
+
+/// A discovery service that fails every poll until `available` is set. It then reports that a server is
+/// draining, and reports no further changes.
 struct InterruptedDiscovery {
     address: SocketAddr,
     failures: Arc<AtomicUsize>,
@@ -30,7 +41,7 @@
 }
 
 impl InterruptedDiscovery {
-    fn start(changes: String, available: Arc<AtomicBool>) -> Self {
+    fn start(changes: String, available: Arc<AtomicBool>, mode: FailureMode) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let discovery =
@@ -41,6 +52,9 @@
             for mut stream in listener.incoming().map_while(Result::ok) {
                 if !available.load(Ordering::SeqCst) {
                     failures.fetch_add(1, Ordering::SeqCst);
+                    if mode == FailureMode::Rejection {
+                        reject(&mut stream);
+                    }
                     continue;
                 }
                 let (notified, applied, changes) = (notified.clone(), applied.clone(), changes.clone());
@@ -62,6 +76,15 @@
     }
 }
 
+/// Reads a poll and answers it with status 503. The connection is closed afterwards.
+fn reject(stream: &mut TcpStream) {
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    if let Ok(Some(_)) = Message::read(&mut reader) {
+        let rejection = response("503 Service Unavailable", "Connection: close\r\n", "");
+        stream.write_all(rejection.as_bytes()).unwrap();
+    }
+}
+
 /// If the backoff grew with the number of nodes, it would have reached half a minute when discovery is
 /// available again. The nodes would learn of a drain long after the deadline and send requests to the
 /// draining server until then.
@@ -72,8 +95,11 @@
     let changes =
         json!({"seq": 2, "whole": false, "hosts": [leaving.endpoint("s-2", "draining")]}).to_string();
     let available: Arc<AtomicBool> = Arc::default();
-    let discoveries: Vec<_> =
-        (0..NODES).map(|_| InterruptedDiscovery::start(changes.clone(), available.clone())).collect();
+    let discoveries: Vec<_> = (0..NODES)
+        .map(|_| {
+            InterruptedDiscovery::start(changes.clone(), available.clone(), FailureMode::ClosedConnection)
+        })
+        .collect();
     let nodes: Vec<_> = (0_u64..)
         .zip(&discoveries)
         .map(|(number, discovery)| {
@@ -110,3 +136,42 @@
     }
     assert_eq!(leaving.request_count(), before);
 }
+
+/// After a new address of discovery a node needs a whole list. Guards against pauses between polls for it that
+/// grow with the number of nodes after the first few failures: the nodes would learn of a drain up to 75 s
+/// after discovery is available at its new address.
+#[test]
+fn every_process_that_needs_a_whole_list_is_notified_in_time_after_an_outage() {
+    let (staying, leaving) = (CacheServer::serving("value"), CacheServer::serving("value"));
+    let before = Discovery::start(&[staying.endpoint("s-1", "ready"), leaving.endpoint("s-2", "ready")]);
+    let after = snapshot(2, &[staying.endpoint("s-1", "ready"), leaving.endpoint("s-2", "draining")]);
+    let available: Arc<AtomicBool> = Arc::default();
+    let modes = [FailureMode::ClosedConnection, FailureMode::Rejection].into_iter().cycle().take(NODES);
+    let discoveries: Vec<_> =
+        modes.map(|mode| InterruptedDiscovery::start(after.clone(), available.clone(), mode)).collect();
+    let nodes: Vec<_> = (0_u64..)
+        .zip(&discoveries)
+        .map(|(number, discovery)| {
+            let mut config = config(before.address);
+            config["seed"] = json!(format!("{number:016x}"));
+            // The node is one of three hundred.
+            config["settings"]["balancers"] = json!(300);
+            let node = Node::start_ready(&config);
+            config["discovery"] = json!(discovery.address.to_string());
+            node.reload(&config.to_string());
+            node
+        })
+        .collect();
+    wait_for("failed polls", || {
+        discoveries.iter().all(|discovery| discovery.failures.load(Ordering::SeqCst) >= SNAPSHOT_FAILURES)
+    });
+    let available_at = Instant::now();
+    available.store(true, Ordering::SeqCst);
+    let is_notified = |discovery: &InterruptedDiscovery| discovery.notified.lock().unwrap().is_some();
+    wait_for("the list to be sent", || discoveries.iter().all(is_notified));
+    for (node, discovery) in nodes.iter().zip(&discoveries) {
+        let notified = discovery.notified.lock().unwrap().unwrap();
+        let took = notified.duration_since(available_at);
+        assert!(took <= NOTIFICATION_DEADLINE, "{}: {took:?}", node.address);
+    }
+}
