Let a test's commands take effect before the call that depends on them

Cause: the command to be silent goes to the stand-in replica's thread over a channel, the call of the second node over a socket.

Change: the test waits for a report, by which all earlier commands have been executed, before it sends the call, as its neighbour for a replica that is away does. No check is changed.

--- a/crates/testbed/tests/replica.rs
+++ b/crates/testbed/tests/replica.rs
@@ -421,6 +421,8 @@
     replica.wait_for_calls(1);
     replica.set_answering(Answering::Silent);
     replica.change(FIRST_VERSION + 1, server_with_health(0, "draining"));
+    // The call must not overtake the commands, which take another way.
+    replica.report();
     new.send(SNAPSHOT_REQUEST);
     replica.wait_for_calls(2);
     for node in [&mut known, &mut new] {
