--- /dev/null
+++ b/review/stand-ins-2/src/lib.rs
@@ -0,0 +1,588 @@
+//! Stand-ins for clients, cache servers and discovery on loopback, a handle on a node process, and the record
+//! of a run. Only the standard library is used.
+
+use std::fs::File;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const u8, length: u32) -> i32;
+}
+
+pub const SIGHUP: i32 = 1;
+pub const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
+
+pub fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+/// Returns whether the disruption of the case is played.
+pub fn trouble() -> bool {
+    std::env::var("TROUBLE").map_or(true, |value| value != "0")
+}
+
+/// The node processes that run, each with its folder.
+static RUNNING: Mutex<Vec<(i32, PathBuf)>> = Mutex::new(Vec::new());
+
+/// Ends the node processes, and the run with this status: 1 if the rule was broken, 0 if it held, 2 if the
+/// case could not be played.
+pub fn finish(status: i32) -> ! {
+    for (pid, folder) in RUNNING.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).drain(..) {
+        unsafe { kill(pid, SIGKILL) };
+        let _ = std::fs::remove_dir_all(folder);
+    }
+    std::process::exit(status);
+}
+
+/// Ends the run with status 2.
+pub fn cannot_run(why: &str) -> ! {
+    println!("the case could not run: {why}");
+    finish(2);
+}
+
+/// Ends the run with the verdict on the rule.
+pub fn verdict(record: &Record, broken: bool, why: &str) -> ! {
+    record.say(&format!("{}: {why}", if broken { "BROKEN" } else { "held" }));
+    finish(i32::from(broken));
+}
+
+/// The record of a run: what was sent, answered and run, with the time since its start.
+#[derive(Clone)]
+pub struct Record(Arc<(Instant, Mutex<File>)>);
+
+impl Record {
+    /// Creates `record.txt` in the folder that the environment variable `CASE` names.
+    pub fn create() -> Self {
+        let folder = std::env::var("CASE").unwrap_or_else(|_| cannot_run("CASE is not set"));
+        let file = File::create(Path::new(&folder).join("record.txt"));
+        let file = file.unwrap_or_else(|error| cannot_run(&format!("record.txt: {error}")));
+        Self(Arc::new((Instant::now(), Mutex::new(file))))
+    }
+
+    pub fn now(&self) -> Duration {
+        self.0 .0.elapsed()
+    }
+
+    pub fn line(&self, text: &str) {
+        let at = self.now().as_secs_f64();
+        let mut file = self.0 .1.lock().unwrap();
+        let _ = writeln!(file, "{at:8.3} s  {text}");
+    }
+
+    /// Writes a line to the record and to standard output.
+    pub fn say(&self, text: &str) {
+        self.line(text);
+        println!("{text}");
+    }
+}
+
+/// A request or an answer.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    pub first_line: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    /// Reads a message whose body has a length, or `None` at the end of the stream before its first byte.
+    pub fn read(stream: &mut impl BufRead) -> io::Result<Option<Self>> {
+        let mut message = Self::default();
+        if stream.read_line(&mut message.first_line)? == 0 {
+            return Ok(None);
+        }
+        message.first_line = message.first_line.trim_end().to_owned();
+        loop {
+            let mut line = String::new();
+            if stream.read_line(&mut line)? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            let line = line.trim_end();
+            let Some((name, value)) = line.split_once(':') else { break };
+            message.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+        }
+        let length = message.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+        message.body = vec![0; length];
+        stream.read_exact(&mut message.body)?;
+        Ok(Some(message))
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(other, _)| other == name).map(|(_, value)| value.as_str())
+    }
+
+    /// Returns the status of an answer.
+    pub fn status(&self) -> u16 {
+        self.first_line.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
+    }
+
+    pub fn path(&self) -> &str {
+        self.first_line.split(' ').nth(1).unwrap_or("")
+    }
+
+    pub fn id(&self) -> &str {
+        self.header("req-id").unwrap_or("-")
+    }
+}
+
+pub fn answer(status: &str, headers: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n{headers}\r\n{body}", body.len())
+}
+
+/// Returns a read as a client sends it.
+pub fn read_request(id: &str, class: &str, key: &str, deadline_ms: u64) -> String {
+    format!(
+        "GET /api/{key} HTTP/1.1\r\nHost: service.internal\r\nReq-Id: {id}\r\nReq-Kind: {class}\r\n\
+         Req-Deadline-Ms: {deadline_ms}\r\n\r\n"
+    )
+}
+
+/// Returns a write as a client sends it.
+pub fn write_request(id: &str, class: &str, key: &str, deadline_ms: u64, body: &str) -> String {
+    format!(
+        "PUT /api/{key} HTTP/1.1\r\nHost: service.internal\r\nReq-Id: {id}\r\nReq-Kind: {class}\r\n\
+         Req-Deadline-Ms: {deadline_ms}\r\nIdempotency-Key: k-{id}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Makes the next close of this socket a reset.
+pub fn reset_on_close(stream: &TcpStream) {
+    let linger: [i32; 2] = [1, 0];
+    // SOL_SOCKET, SO_LINGER.
+    unsafe { setsockopt(stream.as_raw_fd(), 1, 13, linger.as_ptr().cast(), 8) };
+}
+
+/// What a stand-in cache server does with a request.
+pub enum Act {
+    /// Waits, then sends this text.
+    Send(Duration, String),
+    /// Waits, sends this text, and closes the connection.
+    SendAndClose(Duration, String),
+    /// Waits, sends this text, and resets the connection.
+    SendAndReset(Duration, String),
+    /// Sends nothing, and reads on until the node closes the connection.
+    Hang,
+    /// The behaviour has used the stream itself; whether the connection stays open.
+    Done(bool),
+}
+
+/// One request that a stand-in cache server received.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at: Duration,
+    pub id: String,
+    pub told_ms: u64,
+    pub server: String,
+}
+
+/// A stand-in cache server.
+pub struct Server {
+    pub name: String,
+    pub address: SocketAddr,
+    pub arrivals: Arc<Mutex<Vec<Arrival>>>,
+}
+
+impl Server {
+    pub fn start(
+        record: &Record,
+        name: &str,
+        behaviour: impl Fn(&Message, &mut TcpStream) -> Act + Send + Sync + 'static,
+    ) -> Self {
+        let listener =
+            TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| cannot_run(&error.to_string()));
+        let address = listener.local_addr().unwrap();
+        let arrivals: Arc<Mutex<Vec<Arrival>>> = Arc::default();
+        let (record, server, kept, behaviour) =
+            (record.clone(), name.to_owned(), arrivals.clone(), Arc::new(behaviour));
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let (record, server, kept, behaviour) =
+                    (record.clone(), server.clone(), kept.clone(), behaviour.clone());
+                thread::spawn(move || serve(stream, &record, &server, &kept, &*behaviour));
+            }
+        });
+        Self { name: name.to_owned(), address, arrivals }
+    }
+
+    /// Returns this server's entry in a list.
+    pub fn entry(&self, health: &str) -> String {
+        entry(&self.name, self.address, health, 0)
+    }
+
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.arrivals.lock().unwrap().clone()
+    }
+}
+
+/// Returns an entry of discovery's list.
+pub fn entry(name: &str, address: SocketAddr, health: &str, born_ms: u64) -> String {
+    format!(
+        "{{\"host\":\"{name}\",\"dial\":\"{address}\",\"site\":\"duke-street\",\"class\":\"std-box\",\
+         \"block\":0,\"health\":\"{health}\",\"share\":1.0,\"born_ms\":{born_ms}}}"
+    )
+}
+
+fn serve(
+    mut stream: TcpStream,
+    record: &Record,
+    server: &str,
+    kept: &Mutex<Vec<Arrival>>,
+    behaviour: &dyn Fn(&Message, &mut TcpStream) -> Act,
+) {
+    let _ = stream.set_nodelay(true);
+    let Ok(reading) = stream.try_clone() else { return };
+    let mut reader = BufReader::new(reading);
+    while let Ok(Some(request)) = Message::read(&mut reader) {
+        let told_ms = request.header("req-deadline-ms").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let id = request.id().to_owned();
+        record.line(&format!("{server}: got {} {id}, told {told_ms} ms", request.first_line));
+        kept.lock().unwrap().push(Arrival {
+            at: record.now(),
+            id: id.clone(),
+            told_ms,
+            server: server.to_owned(),
+        });
+        let (wait, text) = match behaviour(&request, &mut stream) {
+            Act::Hang => {
+                record.line(&format!("{server}: hangs with {id}"));
+                continue;
+            }
+            Act::Done(true) => continue,
+            Act::Done(false) => return,
+            Act::Send(wait, text) => (wait, text),
+            Act::SendAndClose(wait, text) => {
+                thread::sleep(wait);
+                let _ = stream.write_all(text.as_bytes());
+                record.line(&format!("{server}: answered {id} and closed"));
+                return;
+            }
+            Act::SendAndReset(wait, text) => {
+                thread::sleep(wait);
+                let _ = stream.write_all(text.as_bytes());
+                thread::sleep(ms(5));
+                reset_on_close(&stream);
+                record.line(&format!("{server}: reset the connection of {id}"));
+                return;
+            }
+        };
+        thread::sleep(wait);
+        let sent = stream.write_all(text.as_bytes()).is_ok();
+        record
+            .line(&format!("{server}: answered {id}: {}, written {sent}", text.lines().next().unwrap_or("")));
+    }
+}
+
+/// A stand-in discovery service that answers watches when there is something newer, or when they are over.
+pub struct Discovery {
+    pub address: SocketAddr,
+    /// Versions: each entry is the changes that made the version of its index plus one.
+    state: Arc<(Mutex<Vec<Vec<(String, String)>>>, Condvar)>,
+    record: Record,
+}
+
+impl Discovery {
+    /// Starts with these entries (name, text) as version 1.
+    pub fn start(record: &Record, entries: Vec<(String, String)>) -> Self {
+        let listener =
+            TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| cannot_run(&error.to_string()));
+        let address = listener.local_addr().unwrap();
+        let state = Arc::new((Mutex::new(vec![entries]), Condvar::new()));
+        let shared = state.clone();
+        let log = record.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let (shared, log) = (shared.clone(), log.clone());
+                thread::spawn(move || serve_lists(stream, &shared, &log));
+            }
+        });
+        Self { address, state, record: record.clone() }
+    }
+
+    /// Tells all watches of changes (name, text).
+    pub fn publish(&self, changes: Vec<(String, String)>) {
+        let names: Vec<_> = changes.iter().map(|(_, text)| text.clone()).collect();
+        let mut versions = self.state.0.lock().unwrap();
+        versions.push(changes);
+        self.record.line(&format!("discovery: version {}: {}", versions.len(), names.join(" ")));
+        self.state.1.notify_all();
+    }
+}
+
+fn serve_lists(mut stream: TcpStream, state: &(Mutex<Vec<Vec<(String, String)>>>, Condvar), record: &Record) {
+    let _ = stream.set_nodelay(true);
+    let Ok(reading) = stream.try_clone() else { return };
+    let mut reader = BufReader::new(reading);
+    while let Ok(Some(request)) = Message::read(&mut reader) {
+        let path = request.path().to_owned();
+        let number = |name: &str| -> Option<u64> {
+            path.split(['?', '&']).find_map(|part| part.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+        };
+        let after = number("after");
+        let wait = ms(number("wait_ms").unwrap_or(0));
+        let versions = state.0.lock().unwrap();
+        let is_old = |versions: &mut Vec<_>| after.is_some_and(|after| versions.len() as u64 <= after);
+        let versions = state.1.wait_timeout_while(versions, wait, is_old).unwrap().0;
+        let mut entries: Vec<(String, String)> = Vec::new();
+        for (name, text) in versions.iter().skip(after.unwrap_or(0) as usize).flatten() {
+            entries.retain(|(other, _)| other != name);
+            if after.is_some() || !text.contains("\"gone\"") {
+                entries.push((name.clone(), text.clone()));
+            }
+        }
+        let seq = versions.len();
+        drop(versions);
+        let hosts: Vec<_> = entries.into_iter().map(|(_, text)| text).collect();
+        let body = format!("{{\"seq\":{seq},\"whole\":{},\"hosts\":[{}]}}", after.is_none(), hosts.join(","));
+        record.line(&format!("discovery: answers {path} with version {seq}, {} entries", hosts.len()));
+        if stream.write_all(answer("200 OK", "", &body).as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+/// The settings of a request class.
+pub struct Class {
+    pub name: &'static str,
+    pub effect: &'static str,
+    pub promise_ms: u64,
+    pub hard_limit_ms: u64,
+    pub window_ms: u64,
+}
+
+/// The classes of the register look-ups: the figures of the wire page's example.
+pub const CLASSES: [Class; 3] = [
+    Class { name: "entry-view", effect: "safe", promise_ms: 300, hard_limit_ms: 600, window_ms: 5000 },
+    Class { name: "name-check", effect: "safe", promise_ms: 150, hard_limit_ms: 500, window_ms: 5000 },
+    Class { name: "cert-build", effect: "safe", promise_ms: 1200, hard_limit_ms: 4000, window_ms: 5000 },
+];
+
+/// The configuration of a node.
+pub struct Config {
+    pub discovery: SocketAddr,
+    pub known: Vec<String>,
+    pub sockets: u32,
+    pub nodes: u32,
+    pub classes: Vec<Class>,
+}
+
+impl Config {
+    pub fn text(&self, listen: SocketAddr) -> String {
+        let lanes: Vec<_> = self
+            .classes
+            .iter()
+            .map(|class| {
+                format!(
+                    "{{\"name\":\"{}\",\"effect\":\"{}\",\"dedup_scope\":\"all\",\"promise_us\":{},\
+                     \"hard_limit_us\":{},\"repeat_window_us\":{},\"streaming\":false,\"worth\":5.0,\
+                     \"late_value\":0.5}}",
+                    class.name,
+                    class.effect,
+                    class.promise_ms * 1000,
+                    class.hard_limit_ms * 1000,
+                    class.window_ms * 1000
+                )
+            })
+            .collect();
+        format!(
+            "{{\"name\":\"n0\",\"listen\":\"{listen}\",\"discovery\":\"{}\",\"seed\":\"8c1f30d27a5be964\",\
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":{}}},\
+             \"known\":{{\"seq\":1,\"whole\":true,\"hosts\":[{}]}},\
+             \"settings\":{{\"az\":\"duke-street\",\"zones\":[\"duke-street\",\"spanish-town\"],\
+             \"balancers\":{},\"position\":0,\"membership_mode\":\"subscribe\",\"orgs\":[],\"family\":\"cache\",\
+             \"family_info\":{{\"mode\":\"through\",\"origin_kind\":-1}},\"shapes\":[\"fast-box\",\"std-box\"],\
+             \"weights\":\"nominal\",\"lanes\":[{}],\
+             \"limits\":{{\"connect_timeout_us\":75000,\"keepalive_us\":60000000,\"most_tries\":3,\
+             \"cancelling\":true,\"retry_after\":true,\"max_retry_after_us\":2000000,\"second_copies\":true,\
+             \"probing\":false,\"streams_per_conn\":128}},\
+             \"safety\":{{\"grace_to_answer_us\":8000,\"stop_sending_within_us\":500000,\
+             \"ask_within_us\":10000000,\"cold_share\":0.33,\"warm_within_us\":7800000,\"fall_multiple\":3.0,\
+             \"fall_us\":1500000}}}}}}",
+            self.discovery,
+            self.sockets,
+            self.known.join(","),
+            self.nodes,
+            lanes.join(",")
+        )
+    }
+}
+
+/// A node process, started with the command `run` of the deploy file. It is killed on drop.
+pub struct Node {
+    pub address: SocketAddr,
+    child: Child,
+    folder: PathBuf,
+    record: Record,
+}
+
+impl Node {
+    /// Starts the node and waits until `/healthz` answers 200.
+    pub fn start(record: &Record, config: &Config) -> Self {
+        let root = std::env::var("ROOT").unwrap_or_else(|_| cannot_run("ROOT is not set"));
+        let run = deploy_command(Path::new(&root), "run");
+        let address = free_address();
+        let folder = std::env::temp_dir().join(format!("review-2-{}-{}", std::process::id(), address.port()));
+        std::fs::create_dir_all(&folder).unwrap_or_else(|error| cannot_run(&error.to_string()));
+        let path = folder.join("config.json");
+        std::fs::write(&path, config.text(address)).unwrap_or_else(|error| cannot_run(&error.to_string()));
+        let child = Command::new("/bin/sh")
+            .args(["-c", &run])
+            .current_dir(&root)
+            .env("LB_CONFIG", &path)
+            .env("LB_NAME", "n0")
+            .env("LB_LISTEN", address.to_string())
+            .env("LB_DISCOVERY", config.discovery.to_string())
+            .env("TMPDIR", &folder)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn();
+        let mut child = child.unwrap_or_else(|error| cannot_run(&format!("{run}: {error}")));
+        RUNNING.lock().unwrap().push((child.id() as i32, folder.clone()));
+        let (log, lines) = (record.clone(), BufReader::new(child.stderr.take().unwrap()));
+        thread::spawn(move || {
+            let lines = lines.lines().map_while(Result::ok);
+            lines
+                .filter(|line| !line.starts_with("tally "))
+                .for_each(|line| log.line(&format!("node log: {line}")));
+        });
+        let mut node = Self { address, child, folder, record: record.clone() };
+        record.line(&format!("node: started with `{run}` as {}, listens on {address}", node.child.id()));
+        let until = Instant::now() + ms(10_000);
+        while node.healthz() != 200 {
+            if Instant::now() > until || node.has_exited() {
+                drop(node);
+                cannot_run("the node was not ready within 10 s");
+            }
+            thread::sleep(ms(20));
+        }
+        node
+    }
+
+    fn healthz(&self) -> u16 {
+        let Ok(mut stream) = TcpStream::connect(self.address) else { return 0 };
+        let _ = stream.set_read_timeout(Some(ms(1000)));
+        let _ =
+            stream.write_all(b"GET /healthz HTTP/1.1\r\nHost: service.internal\r\nConnection: close\r\n\r\n");
+        Message::read(&mut BufReader::new(stream)).ok().flatten().map_or(0, |message| message.status())
+    }
+
+    pub fn pid(&self) -> i32 {
+        self.child.id() as i32
+    }
+
+    pub fn signal(&self, name: &str, signal: i32) {
+        self.record.line(&format!("node: {name}"));
+        unsafe { kill(self.pid(), signal) };
+    }
+
+    pub fn has_exited(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    /// Replaces the configuration file.
+    pub fn rewrite(&self, config: &Config) {
+        let new = self.folder.join("new.json");
+        let _ = std::fs::write(&new, config.text(self.address));
+        let _ = std::fs::rename(new, self.folder.join("config.json"));
+    }
+
+    /// Opens a connection as a client.
+    pub fn connect(&self) -> io::Result<TcpStream> {
+        let stream = TcpStream::connect(self.address)?;
+        stream.set_nodelay(true)?;
+        Ok(stream)
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        RUNNING.lock().unwrap().retain(|(pid, _)| *pid != self.child.id() as i32);
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Reads a command of the deploy file.
+fn deploy_command(root: &Path, name: &str) -> String {
+    let text = std::fs::read_to_string(root.join("deploy/balancer.toml")).unwrap_or_default();
+    let command = text.lines().find_map(|line| {
+        let (key, value) = line.split_once('=')?;
+        (key.trim() == name).then(|| value.trim().trim_matches('"').to_owned())
+    });
+    command.unwrap_or_else(|| cannot_run("the deploy file has no such command"))
+}
+
+/// Returns an address of loopback whose port is free.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| cannot_run(&error.to_string()));
+    listener.local_addr().unwrap()
+}
+
+/// Unix time in milliseconds.
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
+}
+
+/// How an exchange ended for the client.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// The status of the answer, or `None` if the connection ended without a whole answer.
+    pub status: Option<u16>,
+    pub body: Vec<u8>,
+    pub close: bool,
+    /// From the last byte of the request to the last byte of the answer or the end of the connection.
+    pub took: Duration,
+    pub error: String,
+}
+
+/// Reads an answer, up to `limit` from now.
+pub fn receive(stream: &TcpStream, reader: &mut impl BufRead, sent_at: Instant, limit: Duration) -> Outcome {
+    let _ = stream.set_read_timeout(Some(limit.max(ms(1))));
+    let read = Message::read(reader);
+    let took = sent_at.elapsed();
+    match read {
+        Ok(Some(message)) => Outcome {
+            status: Some(message.status()),
+            close: message.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close")),
+            body: message.body,
+            took,
+            error: String::new(),
+        },
+        Ok(None) => Outcome { status: None, body: Vec::new(), close: true, took, error: "closed".into() },
+        Err(error) => Outcome { status: None, body: Vec::new(), close: true, took, error: error.to_string() },
+    }
+}
+
+/// Returns whether the other side has ended the connection, as far as this side has been told.
+pub fn is_ended(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let peeked = stream.peek(&mut [0]);
+    let _ = stream.set_nonblocking(false);
+    match peeked {
+        Ok(bytes) => bytes == 0,
+        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+    }
+}
+
+/// Ends a process with SIGKILL.
+pub fn kill_process(pid: i32) {
+    unsafe { kill(pid, SIGKILL) };
+}
+
+/// Reads whatever comes until the end of the stream, and returns the number of bytes.
+pub fn read_to_end(stream: &mut TcpStream, limit: Duration) -> usize {
+    let _ = stream.set_read_timeout(Some(limit));
+    let mut bytes = Vec::new();
+    let _ = stream.read_to_end(&mut bytes);
+    bytes.len()
+}
