--- a/review/stand-ins-2/src/bin/sent-ahead-at-restart.rs
+++ b/review/stand-ins-2/src/bin/sent-ahead-at-restart.rs
@@ -23,8 +23,7 @@
     let entries: Vec<_> = servers.iter().map(|server| (server.name.clone(), server.entry("ready"))).collect();
     let known = entries.iter().map(|(_, entry)| entry.clone()).collect();
     let discovery = Discovery::start(&record, entries);
-    let config =
-        Config { discovery: discovery.address, known, sockets: 1024, nodes: 1, classes: CLASSES.into() };
+    let config = Config::new(discovery.address, known, CLASSES.into());
     let node = Node::start(&record, &config);
 
     let mut client = node.connect().unwrap_or_else(|error| cannot_run(&error.to_string()));
--- a/review/stand-ins-2/src/bin/slow-writer-at-restart.rs
+++ b/review/stand-ins-2/src/bin/slow-writer-at-restart.rs
@@ -28,7 +28,7 @@
         Class { name: "name-check", effect: "safe", promise_ms: 150, hard_limit_ms: 500, window_ms: 5000 },
     ];
     let known = vec![server.entry("ready")];
-    let config = Config { discovery: discovery.address, known, sockets: 1024, nodes: 1, classes };
+    let config = Config::new(discovery.address, known, classes);
     let node = Node::start(&record, &config);
 
     // The client's first request on the connection, written at once.
--- a/review/stand-ins-2/src/lib.rs
+++ b/review/stand-ins-2/src/lib.rs
@@ -370,11 +370,17 @@
     pub discovery: SocketAddr,
     pub known: Vec<String>,
     pub sockets: u32,
+    pub memory_mb: u64,
     pub nodes: u32,
     pub classes: Vec<Class>,
 }
 
 impl Config {
+    /// Returns the configuration of a single node with the limits of a scored day.
+    pub fn new(discovery: SocketAddr, known: Vec<String>, classes: Vec<Class>) -> Self {
+        Self { discovery, known, sockets: 1024, memory_mb: 192, nodes: 1, classes }
+    }
+
     pub fn text(&self, listen: SocketAddr) -> String {
         let lanes: Vec<_> = self
             .classes
@@ -394,7 +400,7 @@
             .collect();
         format!(
             "{{\"name\":\"n0\",\"listen\":\"{listen}\",\"discovery\":\"{}\",\"seed\":\"8c1f30d27a5be964\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":{}}},\
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\
              \"known\":{{\"seq\":1,\"whole\":true,\"hosts\":[{}]}},\
              \"settings\":{{\"az\":\"duke-street\",\"zones\":[\"duke-street\",\"spanish-town\"],\
              \"balancers\":{},\"position\":0,\"membership_mode\":\"subscribe\",\"orgs\":[],\"family\":\"cache\",\
@@ -407,6 +413,7 @@
              \"ask_within_us\":10000000,\"cold_share\":0.33,\"warm_within_us\":7800000,\"fall_multiple\":3.0,\
              \"fall_us\":1500000}}}}}}",
             self.discovery,
+            self.memory_mb,
             self.sockets,
             self.known.join(","),
             self.nodes,
