--- a/review/stand-ins-2/src/bin/hang-at-restart.rs
+++ b/review/stand-ins-2/src/bin/hang-at-restart.rs
@@ -61,7 +61,9 @@
     }
     let mut lost = Vec::new();
     for client in clients {
-        let Some((id, outcome)) = client.join().unwrap() else { cannot_run("a request could not be written") };
+        let Some((id, outcome)) = client.join().unwrap() else {
+            cannot_run("a request could not be written")
+        };
         if outcome.status.is_none() {
             lost.push(id);
         }
--- a/review/stand-ins-2/src/bin/long-writes-in-pieces.rs
+++ b/review/stand-ins-2/src/bin/long-writes-in-pieces.rs
@@ -4,8 +4,6 @@
 use review_stand_ins_2::*;
 use std::io::{BufReader, Write};
 use std::net::TcpStream;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -42,31 +40,7 @@
     };
     let node = Node::start(&record, &config);
 
-    // The platform: over `memory_mb` the node is killed.
-    let over = Arc::new(AtomicBool::new(false));
-    let most_kb = Arc::new(AtomicU64::new(0));
-    let stop = Arc::new(AtomicBool::new(false));
-    let platform = thread::spawn({
-        let (record, over, most_kb, stop) = (record.clone(), over.clone(), most_kb.clone(), stop.clone());
-        let pid = node.pid();
-        move || {
-            let mut samples = 0;
-            while !stop.load(Ordering::SeqCst) {
-                let used_kb = anonymous_kb(pid);
-                most_kb.fetch_max(used_kb, Ordering::SeqCst);
-                if samples % 10 == 0 {
-                    record.line(&format!("platform: the node uses {used_kb} KiB without mapped files"));
-                }
-                if used_kb > MEMORY_MB << 10 {
-                    over.store(true, Ordering::SeqCst);
-                    record.line(&format!("platform: {used_kb} KiB are over {MEMORY_MB} MB, SIGKILL"));
-                    return kill_process(pid);
-                }
-                samples += 1;
-                thread::sleep(ms(10));
-            }
-        }
-    });
+    let platform = MemoryLimit::enforce(&record, node.pid(), MEMORY_MB);
 
     let address = node.address;
     let began = Instant::now();
@@ -88,23 +62,15 @@
         .collect();
     let answers: Vec<_> = writers.into_iter().map(|writer| writer.join().unwrap()).collect();
     let unanswered: u32 = readers.into_iter().map(|reader| reader.join().unwrap()).sum();
-    stop.store(true, Ordering::SeqCst);
-    let _ = platform.join();
+    let (over, most_kb) = platform.end();
     let answered = answers.iter().filter(|status| status.is_some()).count();
     let facts = format!(
         "{WRITERS} writes of {} KiB each, {answered} answered; reads without an answer: {unanswered}; most memory \
          {:.1} MiB of {MEMORY_MB}",
         VALUE_BYTES >> 10,
-        most_kb.load(Ordering::SeqCst) as f64 / 1024.0
+        most_kb as f64 / 1024.0
     );
-    verdict(&record, over.load(Ordering::SeqCst), &facts);
-}
-
-/// Returns the memory of a process without mapped files, in KiB.
-fn anonymous_kb(pid: i32) -> u64 {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let line = text.lines().find_map(|line| line.strip_prefix("RssAnon:"));
-    line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
+    verdict(&record, over, &facts);
 }
 
 /// Reads on one connection until `until`. Returns how many requests got no answer.
--- a/review/stand-ins-2/src/lib.rs
+++ b/review/stand-ins-2/src/lib.rs
@@ -2,11 +2,12 @@
 //! of a run. Only the standard library is used.
 
 use std::fs::File;
-use std::io::{self, BufRead, BufReader, Read, Write};
+use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -586,10 +587,48 @@
     unsafe { kill(pid, SIGKILL) };
 }
 
-/// Reads whatever comes until the end of the stream, and returns the number of bytes.
-pub fn read_to_end(stream: &mut TcpStream, limit: Duration) -> usize {
-    let _ = stream.set_read_timeout(Some(limit));
-    let mut bytes = Vec::new();
-    let _ = stream.read_to_end(&mut bytes);
-    bytes.len()
+/// The memory limit of a node: a process that goes over it is killed.
+pub struct MemoryLimit {
+    stop: Arc<AtomicBool>,
+    watching: thread::JoinHandle<(bool, u64)>,
+}
+
+impl MemoryLimit {
+    /// Reads every 10 ms how much memory the process uses, without mapped files.
+    pub fn enforce(record: &Record, pid: i32, memory_mb: u64) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let (record, stopped) = (record.clone(), stop.clone());
+        let watching = thread::spawn(move || {
+            let (mut most_kb, mut samples) = (0, 0);
+            while !stopped.load(Ordering::SeqCst) {
+                let used_kb = anonymous_kb(pid);
+                most_kb = most_kb.max(used_kb);
+                if samples % 10 == 0 {
+                    record.line(&format!("platform: the node uses {used_kb} KiB without mapped files"));
+                }
+                if used_kb > memory_mb << 10 {
+                    record.line(&format!("platform: {used_kb} KiB are over {memory_mb} MB, SIGKILL"));
+                    kill_process(pid);
+                    return (true, most_kb);
+                }
+                samples += 1;
+                thread::sleep(ms(10));
+            }
+            (false, most_kb)
+        });
+        Self { stop, watching }
+    }
+
+    /// Returns whether the process went over its limit, and the most memory that was seen, in KiB.
+    pub fn end(self) -> (bool, u64) {
+        self.stop.store(true, Ordering::SeqCst);
+        self.watching.join().unwrap_or((false, 0))
+    }
+}
+
+/// Returns the memory of a process without mapped files, in KiB.
+fn anonymous_kb(pid: i32) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+    line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
 }
