Review case 7: after an upgrade nodes send to a server that they were told drains

Cause: a successor replaces the list that discovery has sent it by the older one of its predecessor, and is never told again.

--- a/review/stand-ins-2/src/lib.rs
+++ b/review/stand-ins-2/src/lib.rs
@@ -285,18 +285,35 @@
 /// A stand-in discovery service that answers watches when there is something newer, or when they are over.
 pub struct Discovery {
     pub address: SocketAddr,
-    /// Versions: each entry is the changes that made the version of its index plus one.
-    state: Arc<(Mutex<Vec<Vec<(String, String)>>>, Condvar)>,
+    state: Arc<(Mutex<Lists>, Condvar)>,
     record: Record,
 }
 
+#[derive(Default)]
+struct Lists {
+    /// Each entry is the changes (name, text) that made the version of its index plus one.
+    versions: Vec<Vec<(String, String)>>,
+    /// How often the open watches have fallen silent.
+    silences: u32,
+    /// When each answer was written, with the version that it told.
+    told: Vec<(Duration, usize)>,
+    /// How long a call for the whole list takes.
+    whole_list_takes: Duration,
+}
+
 impl Discovery {
     /// Starts with these entries (name, text) as version 1.
     pub fn start(record: &Record, entries: Vec<(String, String)>) -> Self {
+        Self::start_slow(record, entries, Duration::ZERO)
+    }
+
+    /// Starts a service that takes this long for a call for the whole list.
+    pub fn start_slow(record: &Record, entries: Vec<(String, String)>, whole_list_takes: Duration) -> Self {
         let listener =
             TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| cannot_run(&error.to_string()));
         let address = listener.local_addr().unwrap();
-        let state = Arc::new((Mutex::new(vec![entries]), Condvar::new()));
+        let lists = Lists { versions: vec![entries], whole_list_takes, ..Lists::default() };
+        let state = Arc::new((Mutex::new(lists), Condvar::new()));
         let shared = state.clone();
         let log = record.clone();
         thread::spawn(move || {
@@ -311,14 +328,27 @@
     /// Tells all watches of changes (name, text).
     pub fn publish(&self, changes: Vec<(String, String)>) {
         let names: Vec<_> = changes.iter().map(|(_, text)| text.clone()).collect();
-        let mut versions = self.state.0.lock().unwrap();
-        versions.push(changes);
-        self.record.line(&format!("discovery: version {}: {}", versions.len(), names.join(" ")));
+        let mut lists = self.state.0.lock().unwrap();
+        lists.versions.push(changes);
+        self.record.line(&format!("discovery: version {}: {}", lists.versions.len(), names.join(" ")));
+        self.state.1.notify_all();
+    }
+
+    /// Lets the watches that are open now fall silent: they are never answered, and their connections stay open.
+    pub fn silence_open_watches(&self) {
+        self.state.0.lock().unwrap().silences += 1;
+        self.record.line("discovery: the open watches fall silent");
         self.state.1.notify_all();
     }
+
+    /// Returns when this version or a later one was first written in an answer.
+    pub fn told_at(&self, version: usize) -> Option<Duration> {
+        let lists = self.state.0.lock().unwrap();
+        lists.told.iter().find(|(_, told)| *told >= version).map(|(at, _)| *at)
+    }
 }
 
-fn serve_lists(mut stream: TcpStream, state: &(Mutex<Vec<Vec<(String, String)>>>, Condvar), record: &Record) {
+fn serve_lists(mut stream: TcpStream, state: &(Mutex<Lists>, Condvar), record: &Record) {
     let _ = stream.set_nodelay(true);
     let Ok(reading) = stream.try_clone() else { return };
     let mut reader = BufReader::new(reading);
@@ -329,24 +359,37 @@
         };
         let after = number("after");
         let wait = ms(number("wait_ms").unwrap_or(0));
-        let versions = state.0.lock().unwrap();
-        let is_old = |versions: &mut Vec<_>| after.is_some_and(|after| versions.len() as u64 <= after);
-        let versions = state.1.wait_timeout_while(versions, wait, is_old).unwrap().0;
+        let lists = state.0.lock().unwrap();
+        let silences = lists.silences;
+        let takes = if after.is_none() { lists.whole_list_takes } else { Duration::ZERO };
+        let waits = |lists: &mut Lists| {
+            let is_old = after.is_some_and(|after| lists.versions.len() as u64 <= after);
+            is_old && lists.silences == silences
+        };
+        let lists = state.1.wait_timeout_while(lists, wait, waits).unwrap().0;
+        if lists.silences != silences {
+            drop(lists);
+            record.line(&format!("discovery: {path} stays without an answer"));
+            let _ = Message::read(&mut reader);
+            return;
+        }
         let mut entries: Vec<(String, String)> = Vec::new();
-        for (name, text) in versions.iter().skip(after.unwrap_or(0) as usize).flatten() {
+        for (name, text) in lists.versions.iter().skip(after.unwrap_or(0) as usize).flatten() {
             entries.retain(|(other, _)| other != name);
             if after.is_some() || !text.contains("\"gone\"") {
                 entries.push((name.clone(), text.clone()));
             }
         }
-        let seq = versions.len();
-        drop(versions);
+        let seq = lists.versions.len();
+        drop(lists);
+        thread::sleep(takes);
         let hosts: Vec<_> = entries.into_iter().map(|(_, text)| text).collect();
         let body = format!("{{\"seq\":{seq},\"whole\":{},\"hosts\":[{}]}}", after.is_none(), hosts.join(","));
-        record.line(&format!("discovery: answers {path} with version {seq}, {} entries", hosts.len()));
         if stream.write_all(answer("200 OK", "", &body).as_bytes()).is_err() {
             return;
         }
+        record.line(&format!("discovery: answered {path} with version {seq}, {} entries", hosts.len()));
+        state.0.lock().unwrap().told.push((record.now(), seq));
     }
 }
 
@@ -423,6 +466,81 @@
     }
 }
 
+/// A node process from an operator's file: the command `run` of the deploy file with `run --config FILE`.
+pub struct OperatorNode {
+    child: Child,
+    record: Record,
+    pub name: String,
+}
+
+impl OperatorNode {
+    /// Starts a process from the file in this folder, and does not wait for anything.
+    pub fn start(record: &Record, name: &str, folder: &Path) -> Self {
+        let root = std::env::var("ROOT").unwrap_or_else(|_| cannot_run("ROOT is not set"));
+        let run = format!(
+            "{} run --config {}",
+            deploy_command(Path::new(&root), "run"),
+            folder.join("node.toml").display()
+        );
+        let mut child = Command::new("/bin/sh")
+            .args(["-c", &run])
+            .current_dir(&root)
+            .env("TMPDIR", folder)
+            .env_remove("NOTIFY_SOCKET")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap_or_else(|error| cannot_run(&format!("{run}: {error}")));
+        RUNNING.lock().unwrap().push((child.id() as i32, folder.to_owned()));
+        let (log, lines, name) =
+            (record.clone(), BufReader::new(child.stderr.take().unwrap()), name.to_owned());
+        record.line(&format!("{name}: started as {}", child.id()));
+        thread::spawn({
+            let name = name.clone();
+            move || {
+                lines.lines().map_while(Result::ok).for_each(|line| log.line(&format!("{name} log: {line}")));
+            }
+        });
+        Self { child, record: record.clone(), name }
+    }
+
+    pub fn pid(&self) -> i32 {
+        self.child.id() as i32
+    }
+
+    pub fn has_exited(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+}
+
+impl Drop for OperatorNode {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.record.line(&format!("{}: ended", self.name));
+    }
+}
+
+/// Waits up to 10 s.
+pub fn wait_until(what: &str, reached: impl Fn() -> bool) {
+    let until = Instant::now() + ms(10_000);
+    while !reached() {
+        if Instant::now() > until {
+            cannot_run(&format!("waited in vain for {what}"));
+        }
+        thread::sleep(ms(5));
+    }
+}
+
+/// Returns the status of `/healthz` at this address, or 0 without an answer.
+pub fn healthz(address: SocketAddr) -> u16 {
+    let Ok(mut stream) = TcpStream::connect(address) else { return 0 };
+    let _ = stream.set_read_timeout(Some(ms(1000)));
+    let _ = stream.write_all(b"GET /healthz HTTP/1.1\r\nHost: service.internal\r\nConnection: close\r\n\r\n");
+    Message::read(&mut BufReader::new(stream)).ok().flatten().map_or(0, |message| message.status())
+}
+
 /// A node process, started with the command `run` of the deploy file. It is killed on drop.
 pub struct Node {
     pub address: SocketAddr,
@@ -465,7 +583,7 @@
         let mut node = Self { address, child, folder, record: record.clone() };
         record.line(&format!("node: started with `{run}` as {}, listens on {address}", node.child.id()));
         let until = Instant::now() + ms(10_000);
-        while node.healthz() != 200 {
+        while healthz(node.address) != 200 {
             if Instant::now() > until || node.has_exited() {
                 drop(node);
                 cannot_run("the node was not ready within 10 s");
@@ -475,14 +593,6 @@
         node
     }
 
-    fn healthz(&self) -> u16 {
-        let Ok(mut stream) = TcpStream::connect(self.address) else { return 0 };
-        let _ = stream.set_read_timeout(Some(ms(1000)));
-        let _ =
-            stream.write_all(b"GET /healthz HTTP/1.1\r\nHost: service.internal\r\nConnection: close\r\n\r\n");
-        Message::read(&mut BufReader::new(stream)).ok().flatten().map_or(0, |message| message.status())
-    }
-
     pub fn pid(&self) -> i32 {
         self.child.id() as i32
     }
