--- a/review/stand-ins-2/src/lib.rs
+++ b/review/stand-ins-2/src/lib.rs
@@ -7,7 +7,7 @@
 use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -640,10 +640,21 @@
     command.unwrap_or_else(|| cannot_run("the deploy file has no such command"))
 }
 
-/// Returns an address of loopback whose port is free.
+/// The next port that [`free_address`] tries, less that of the process's first try.
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
+/// Returns an address of loopback whose port is free. The port is below those that the system gives to outgoing
+/// connections, so that none of them takes it before the node listens there.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| cannot_run(&error.to_string()));
-    listener.local_addr().unwrap()
+    let first = std::process::id().wrapping_mul(37) % 10_000;
+    for _ in 0..10_000 {
+        let port = 20_000 + (first + NEXT_PORT.fetch_add(1, Ordering::SeqCst)) % 12_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
+    cannot_run("no port is free")
 }
 
 /// Unix time in milliseconds.
