--- a/review/stand-ins-2/src/bin/long-writes-in-pieces.rs
+++ b/review/stand-ins-2/src/bin/long-writes-in-pieces.rs
@@ -7,19 +7,19 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// The limits of the node: those of a narrow day of the operators' bench.
-const MEMORY_MB: u64 = 64;
-const SOCKETS: u32 = 672;
+/// The limits of the node: the highest of the days that are scored.
+const MEMORY_MB: u64 = 192;
+const SOCKETS: u32 = 1024;
 /// The clients that write a long request, and their requests: a value of 64 KiB in pieces of 64 bytes.
-const WRITERS: u32 = 24;
+const WRITERS: u32 = 64;
 const VALUE_BYTES: usize = 64 << 10;
 const PIECE_BYTES: usize = 64;
 /// From one piece to the next: a request is written within 1.9 s.
 const STEP: Duration = Duration::from_micros(1_800);
 const DEADLINE_MS: u64 = 2_000;
 /// The clients that read beside them, and how long each rests between two reads.
-const READERS: u32 = 80;
-const REST: Duration = Duration::from_millis(2_000);
+const READERS: u32 = 192;
+const REST: Duration = Duration::from_millis(6_000);
 
 fn main() {
     let record = Record::create();
--- a/review/stand-ins-2/src/bin/upgrade-after-silent-watch.rs
+++ b/review/stand-ins-2/src/bin/upgrade-after-silent-watch.rs
@@ -12,39 +12,54 @@
 use std::time::{Duration, Instant};
 
 const NODES: usize = 8;
+/// One of them drains: a quarter of the cache servers.
+const SERVERS: usize = 4;
 /// New requests to a draining server have to stop this long after the notification: the grace and the slack on
 /// sockets.
 const STOP_WITHIN: Duration = Duration::from_millis(500 + 50);
 /// How long discovery takes for the first list of the further pool.
 const FIRST_LIST_TAKES: Duration = Duration::from_millis(300);
 /// How long requests are sent to the new processes.
-const LOAD_FOR: Duration = Duration::from_millis(4_000);
+const LOAD_FOR: Duration = Duration::from_millis(5_000);
 const VERSION_OF_DRAIN: usize = 2;
 
+/// A node: where it listens, and where its lists come from.
 struct Upgraded {
     name: String,
     address: SocketAddr,
     folder: PathBuf,
+    /// Where the list of the cache servers comes from.
     discovery: Discovery,
     /// Where the list of the further pool comes from.
     further: Discovery,
-    drained: Server,
-    /// Set when that server begins to drain: it turns new requests away from then on.
-    draining: Arc<AtomicBool>,
-    _others: Vec<Server>,
 }
 
 fn main() {
     let record = Record::create();
-    let nodes: Vec<_> = (0..NODES).map(|number| prepare(&record, number)).collect();
+    // The cache servers of all nodes. The first one is to drain, and turns new requests away from then on.
+    let draining = Arc::new(AtomicBool::new(false));
+    let servers: Vec<_> = (1..=SERVERS)
+        .map(|number| {
+            let draining = draining.clone();
+            Server::start(&record, &format!("s-{number}"), move |request, _| {
+                if number == 1 && draining.load(Ordering::SeqCst) {
+                    return Act::Send(ms(1), answer("503 Service Unavailable", "Srv-Declined: 1\r\n", ""));
+                }
+                Act::Send(ms(10), answer("200 OK", "", &format!("value for {}", request.id())))
+            })
+        })
+        .collect();
+    let further_server =
+        Server::start(&record, "t-1", |_, _| Act::Send(ms(10), answer("200 OK", "", "value of t-1")));
+    let nodes: Vec<_> =
+        (0..NODES).map(|number| Upgraded::prepare(&record, number, &servers, &further_server)).collect();
     let first: Vec<_> = nodes
         .iter()
         .map(|node| OperatorNode::start(&record, &format!("{}, first process", node.name), &node.folder))
         .collect();
     for node in &nodes {
-        wait_until("a node to be ready", || {
-            healthz(node.address) == 200 && node.discovery.told_at(1).is_some()
-        });
+        let is_ready = || healthz(node.address) == 200 && node.discovery.told_at(1).is_some();
+        wait_until("a node to be ready", is_ready);
     }
     // The watches of all nodes are open.
     thread::sleep(ms(500));
@@ -52,103 +67,92 @@
         nodes.iter().for_each(|node| node.discovery.silence_open_watches());
     }
     thread::sleep(ms(200));
+    draining.store(true, Ordering::SeqCst);
     for node in &nodes {
-        node.draining.store(true, Ordering::SeqCst);
-        node.discovery.publish(vec![("s-1".into(), node.drained.entry("draining"))]);
+        node.discovery.publish(vec![(servers[0].name.clone(), servers[0].entry("draining"))]);
     }
     thread::sleep(ms(500));
     let mut second = Vec::new();
     for node in &nodes {
         // The operator adds a pool to the file and starts the new process with it.
         node.write_file(true);
-        let process = OperatorNode::start(&record, &format!("{}, second process", node.name), &node.folder);
-        wait_until("the new process to be told of the drain", || {
-            node.discovery.told_at(VERSION_OF_DRAIN).is_some()
-        });
-        second.push(process);
-    }
-    thread::sleep(FIRST_LIST_TAKES + STOP_WITHIN + ms(500));
-    for process in &mut second {
-        if process.has_exited() {
-            cannot_run("a new process has ended");
-        }
+        second.push(OperatorNode::start(&record, &format!("{}, second process", node.name), &node.folder));
+        wait_until("a node to be told of the drain", || node.discovery.told_at(VERSION_OF_DRAIN).is_some());
     }
-    let addresses: Vec<_> = nodes.iter().map(|node| node.address).collect();
-    let began = record.now();
-    let clients: Vec<_> = addresses
-        .into_iter()
+    // The old processes end after the probation, so that from then on only new ones can send anything.
+    thread::sleep(ms(500));
+    let clients: Vec<_> = nodes
+        .iter()
         .enumerate()
-        .map(|(number, address)| {
-            let record = record.clone();
+        .map(|(number, node)| {
+            let (record, address) = (record.clone(), node.address);
             thread::spawn(move || {
                 read_on_new_connections(&record, number, address, Instant::now() + LOAD_FOR)
             })
         })
         .collect();
     let served: u32 = clients.into_iter().map(|client| client.join().unwrap()).sum();
+    if second.iter_mut().any(OperatorNode::has_exited) {
+        cannot_run("a new process has ended");
+    }
+    let arrivals = servers[0].arrivals();
     let mut late = Vec::new();
-    for node in &nodes {
-        let told =
-            node.discovery.told_at(VERSION_OF_DRAIN).unwrap_or_else(|| cannot_run("a node was not told"));
-        let arrivals = node.drained.arrivals();
-        let after: Vec<_> = arrivals
-            .iter()
-            .filter(|arrival| arrival.at >= began && arrival.at > told + STOP_WITHIN)
-            .collect();
-        if let Some(last) = after.last() {
-            let since = (last.at - told).as_secs_f64();
+    for (number, node) in nodes.iter().enumerate() {
+        let told = node.discovery.told_at(VERSION_OF_DRAIN);
+        let told = told.unwrap_or_else(|| cannot_run("a node was not told"));
+        let own = format!("n{number}-");
+        let is_late = |arrival: &&Arrival| arrival.id.starts_with(&own) && arrival.at > told + STOP_WITHIN;
+        for arrival in arrivals.iter().filter(is_late) {
             record.line(&format!(
-                "{}: LATE: {} attempts at s-1, the last {since:.2} s after the drain was told",
-                node.name,
-                after.len()
+                "LATE: {} came to s-1 at {:.3} s, {:.2} s after discovery wrote to {} that s-1 drains",
+                arrival.id,
+                arrival.at.as_secs_f64(),
+                (arrival.at - told).as_secs_f64(),
+                node.name
             ));
-            late.push(format!("{}: {} up to {since:.1} s", node.name, after.len()));
+        }
+        let late_at_node: Vec<_> = arrivals.iter().filter(is_late).collect();
+        if let Some(last) = late_at_node.last() {
+            let since = (last.at - told).as_secs_f64();
+            late.push(format!("{}: {} up to {since:.1} s", node.name, late_at_node.len()));
         }
     }
-    let facts = format!("{NODES} nodes, {served} requests served after the upgrade; attempts at the draining server: {late:?}");
+    let facts = format!(
+        "{NODES} nodes, {served} requests served after the upgrade; attempts at the draining server over {} ms \
+         after the node was told: {late:?}",
+        STOP_WITHIN.as_millis()
+    );
     drop(second);
     drop(first);
     verdict(&record, !late.is_empty(), &facts);
 }
 
-/// Makes the surroundings of a node: three cache servers, discovery, and its file.
-fn prepare(record: &Record, number: usize) -> Upgraded {
-    let name = format!("n{number}");
-    let draining = Arc::new(AtomicBool::new(false));
-    let server = |server: usize| {
-        let body = format!("value of s-{server}");
-        let draining = draining.clone();
-        Server::start(record, &format!("s-{server}"), move |_, _| {
-            if server == 1 && draining.load(Ordering::SeqCst) {
-                return Act::Send(ms(1), answer("503 Service Unavailable", "Srv-Declined: 1\r\n", ""));
-            }
-            Act::Send(ms(10), answer("200 OK", "", &body))
-        })
-    };
-    let (drained, others) = (server(1), vec![server(2), server(3)]);
-    let mut entries = vec![("s-1".to_owned(), drained.entry("ready"))];
-    entries.extend(others.iter().map(|other| (other.name.clone(), other.entry("ready"))));
-    let discovery = Discovery::start(record, entries);
-    let further_server =
-        Server::start(record, "t-1", |_, _| Act::Send(ms(10), answer("200 OK", "", "value of t-1")));
-    let further =
-        Discovery::start_slow(record, vec![("t-1".into(), further_server.entry("ready"))], FIRST_LIST_TAKES);
-    let address = free_address();
-    let folder = std::env::temp_dir().join(format!("review-2-{}-{name}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap_or_else(|error| cannot_run(&error.to_string()));
-    let mut _others = others;
-    _others.push(further_server);
-    let node = Upgraded { name, address, folder, discovery, further, drained, draining, _others };
-    node.write_file(false);
-    node
-}
-
 impl Upgraded {
+    /// Makes the surroundings of a node, and its file.
+    fn prepare(record: &Record, number: usize, servers: &[Server], further: &Server) -> Self {
+        let name = format!("n{number}");
+        let entries = |servers: &[Server]| -> Vec<_> {
+            servers.iter().map(|server| (server.name.clone(), server.entry("ready"))).collect()
+        };
+        let discovery =
+            Discovery::start_as(record, &format!("discovery of {name}"), entries(servers), Duration::ZERO);
+        let further = Discovery::start_as(
+            record,
+            &format!("discovery of {name}'s further pool"),
+            entries(std::slice::from_ref(further)),
+            FIRST_LIST_TAKES,
+        );
+        let folder = temporary_folder(&name);
+        let node = Self { name, address: free_address(), folder, discovery, further };
+        node.write_file(false);
+        node
+    }
+
     /// Writes the operator's file, with or without the further pool.
     fn write_file(&self, with_further_pool: bool) {
         let mut text = format!(
             "version = 1\nname = \"{}\"\nnodes = {NODES}\n[limits]\ndescriptors = 1024\n[servers]\n\
-             connect_timeout = \"75ms\"\nidle = \"60s\"\n[hand_over]\nsocket = \"hand-over.sock\"\n\
+             connect_timeout = \"75ms\"\nidle = \"60s\"\n[hand_over]\nsocket = \"h.sock\"\n\
              probation = \"2s\"\n[[listener]]\nname = \"clients\"\naddress = \"{}\"\n[[pool]]\n\
              name = \"records\"\ndiscovery = \"{}\"\n[[class]]\nname = \"entry-view\"\npool = \"records\"\n\
              effect = \"safe\"\naim = \"300ms\"\ndeadline = \"600ms\"\nworth = 5.0\n",
--- a/review/stand-ins-2/src/lib.rs
+++ b/review/stand-ins-2/src/lib.rs
@@ -5,6 +5,7 @@
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -14,6 +15,8 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn waitpid(pid: i32, status: *mut i32, options: i32) -> i32;
+    fn prctl(option: i32, value: u64, ...) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const u8, length: u32) -> i32;
 }
 
@@ -30,19 +33,44 @@
     std::env::var("TROUBLE").map_or(true, |value| value != "0")
 }
 
+/// How long a run may take. It then ends with status 2.
+const LONGEST_RUN: Duration = Duration::from_secs(100);
+
 /// The node processes that run, each with its folder.
 static RUNNING: Mutex<Vec<(i32, PathBuf)>> = Mutex::new(Vec::new());
 
-/// Ends the node processes, and the run with this status: 1 if the rule was broken, 0 if it held, 2 if the
-/// case could not be played.
+/// Ends the node processes and waits for their end, then ends the run with this status: 1 if the rule was
+/// broken, 0 if it held, 2 if the case could not be played.
 pub fn finish(status: i32) -> ! {
-    for (pid, folder) in RUNNING.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).drain(..) {
-        unsafe { kill(pid, SIGKILL) };
-        let _ = std::fs::remove_dir_all(folder);
+    if let Ok(mut running) = RUNNING.try_lock() {
+        for (pid, folder) in running.drain(..) {
+            unsafe {
+                kill(pid, SIGKILL);
+                waitpid(pid, std::ptr::null_mut(), 0);
+            }
+            let _ = std::fs::remove_dir_all(folder);
+        }
     }
     std::process::exit(status);
 }
 
+/// Returns an argument of the program: the path of the record, or the root of the repository.
+fn argument(number: usize) -> PathBuf {
+    let argument = std::env::args_os().nth(number).map(PathBuf::from);
+    argument.unwrap_or_else(|| cannot_run("arguments: the path of the record, and the repository's root"))
+}
+
+/// Lets a process end with this one, however this one ends.
+fn end_with_this_process(command: &mut Command) -> &mut Command {
+    // PR_SET_PDEATHSIG. The processes are started by the main thread.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(1, SIGKILL as u64);
+            Ok(())
+        })
+    }
+}
+
 /// Ends the run with status 2.
 pub fn cannot_run(why: &str) -> ! {
     println!("the case could not run: {why}");
@@ -60,12 +88,23 @@
 pub struct Record(Arc<(Instant, Mutex<File>)>);
 
 impl Record {
-    /// Creates `record.txt` in the folder that the environment variable `CASE` names.
+    /// Creates the record at the path that is the program's first argument. From now on a panic, or a run that
+    /// takes too long, ends the run with status 2.
     pub fn create() -> Self {
-        let folder = std::env::var("CASE").unwrap_or_else(|_| cannot_run("CASE is not set"));
-        let file = File::create(Path::new(&folder).join("record.txt"));
-        let file = file.unwrap_or_else(|error| cannot_run(&format!("record.txt: {error}")));
-        Self(Arc::new((Instant::now(), Mutex::new(file))))
+        let path = argument(1);
+        let file = File::create(&path);
+        let file = file.unwrap_or_else(|error| cannot_run(&format!("{}: {error}", path.display())));
+        std::panic::set_hook(Box::new(|panic| cannot_run(&panic.to_string())));
+        thread::spawn(|| {
+            thread::sleep(LONGEST_RUN);
+            cannot_run("the run took too long");
+        });
+        let record = Self(Arc::new((Instant::now(), Mutex::new(file))));
+        record.line(&format!(
+            "the disruption is {}",
+            if trouble() { "played" } else { "not played (TROUBLE=0)" }
+        ));
+        record
     }
 
     pub fn now(&self) -> Duration {
@@ -285,6 +324,7 @@
 /// A stand-in discovery service that answers watches when there is something newer, or when they are over.
 pub struct Discovery {
     pub address: SocketAddr,
+    name: String,
     state: Arc<(Mutex<Lists>, Condvar)>,
     record: Record,
 }
@@ -304,25 +344,29 @@
 impl Discovery {
     /// Starts with these entries (name, text) as version 1.
     pub fn start(record: &Record, entries: Vec<(String, String)>) -> Self {
-        Self::start_slow(record, entries, Duration::ZERO)
+        Self::start_as(record, "discovery", entries, Duration::ZERO)
     }
 
-    /// Starts a service that takes this long for a call for the whole list.
-    pub fn start_slow(record: &Record, entries: Vec<(String, String)>, whole_list_takes: Duration) -> Self {
+    /// Starts a service with a name in the record that takes this long for a call for the whole list.
+    pub fn start_as(
+        record: &Record,
+        name: &str,
+        entries: Vec<(String, String)>,
+        whole_list_takes: Duration,
+    ) -> Self {
         let listener =
             TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| cannot_run(&error.to_string()));
         let address = listener.local_addr().unwrap();
         let lists = Lists { versions: vec![entries], whole_list_takes, ..Lists::default() };
         let state = Arc::new((Mutex::new(lists), Condvar::new()));
-        let shared = state.clone();
-        let log = record.clone();
+        let (shared, log, label) = (state.clone(), record.clone(), name.to_owned());
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
-                let (shared, log) = (shared.clone(), log.clone());
-                thread::spawn(move || serve_lists(stream, &shared, &log));
+                let (shared, log, label) = (shared.clone(), log.clone(), label.clone());
+                thread::spawn(move || serve_lists(stream, &label, &shared, &log));
             }
         });
-        Self { address, state, record: record.clone() }
+        Self { address, name: name.to_owned(), state, record: record.clone() }
     }
 
     /// Tells all watches of changes (name, text).
@@ -330,14 +374,14 @@
         let names: Vec<_> = changes.iter().map(|(_, text)| text.clone()).collect();
         let mut lists = self.state.0.lock().unwrap();
         lists.versions.push(changes);
-        self.record.line(&format!("discovery: version {}: {}", lists.versions.len(), names.join(" ")));
+        self.record.line(&format!("{}: version {}: {}", self.name, lists.versions.len(), names.join(" ")));
         self.state.1.notify_all();
     }
 
     /// Lets the watches that are open now fall silent: they are never answered, and their connections stay open.
     pub fn silence_open_watches(&self) {
         self.state.0.lock().unwrap().silences += 1;
-        self.record.line("discovery: the open watches fall silent");
+        self.record.line(&format!("{}: the open watches fall silent", self.name));
         self.state.1.notify_all();
     }
 
@@ -348,7 +392,7 @@
     }
 }
 
-fn serve_lists(mut stream: TcpStream, state: &(Mutex<Lists>, Condvar), record: &Record) {
+fn serve_lists(mut stream: TcpStream, name: &str, state: &(Mutex<Lists>, Condvar), record: &Record) {
     let _ = stream.set_nodelay(true);
     let Ok(reading) = stream.try_clone() else { return };
     let mut reader = BufReader::new(reading);
@@ -369,7 +413,7 @@
         let lists = state.1.wait_timeout_while(lists, wait, waits).unwrap().0;
         if lists.silences != silences {
             drop(lists);
-            record.line(&format!("discovery: {path} stays without an answer"));
+            record.line(&format!("{name}: {path} stays without an answer"));
             let _ = Message::read(&mut reader);
             return;
         }
@@ -388,7 +432,7 @@
         if stream.write_all(answer("200 OK", "", &body).as_bytes()).is_err() {
             return;
         }
-        record.line(&format!("discovery: answered {path} with version {seq}, {} entries", hosts.len()));
+        record.line(&format!("{name}: wrote version {seq} as the answer to {path}: {}", hosts.join(" ")));
         state.0.lock().unwrap().told.push((record.now(), seq));
     }
 }
@@ -476,13 +520,13 @@
 impl OperatorNode {
     /// Starts a process from the file in this folder, and does not wait for anything.
     pub fn start(record: &Record, name: &str, folder: &Path) -> Self {
-        let root = std::env::var("ROOT").unwrap_or_else(|_| cannot_run("ROOT is not set"));
-        let run = format!(
-            "{} run --config {}",
-            deploy_command(Path::new(&root), "run"),
-            folder.join("node.toml").display()
-        );
-        let mut child = Command::new("/bin/sh")
+        let root = argument(2);
+        let file = folder.join("node.toml");
+        let run = format!("{} run --config '{}'", deploy_command(&root, "run"), file.display());
+        let text = std::fs::read_to_string(&file).unwrap_or_default();
+        record.line(&format!("{name}: starts with `{run}`, its file: {}", text.replace('\n', "; ")));
+        let mut command = Command::new("/bin/sh");
+        let mut child = end_with_this_process(&mut command)
             .args(["-c", &run])
             .current_dir(&root)
             .env("TMPDIR", folder)
@@ -509,6 +553,11 @@
         self.child.id() as i32
     }
 
+    /// Sends SIGHUP: the file is read again.
+    pub fn reload(&self) {
+        unsafe { kill(self.pid(), SIGHUP) };
+    }
+
     pub fn has_exited(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
@@ -522,6 +571,15 @@
     }
 }
 
+/// Makes a folder for a node. Its path is short, since that of a hand-over socket may have 80 bytes.
+pub fn temporary_folder(name: &str) -> PathBuf {
+    let parent = std::env::temp_dir();
+    let parent = if parent.as_os_str().len() > 40 { PathBuf::from("/tmp") } else { parent };
+    let folder = parent.join(format!("review-2-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap_or_else(|error| cannot_run(&error.to_string()));
+    folder
+}
+
 /// Waits up to 10 s.
 pub fn wait_until(what: &str, reached: impl Fn() -> bool) {
     let until = Instant::now() + ms(10_000);
@@ -552,14 +610,15 @@
 impl Node {
     /// Starts the node and waits until `/healthz` answers 200.
     pub fn start(record: &Record, config: &Config) -> Self {
-        let root = std::env::var("ROOT").unwrap_or_else(|_| cannot_run("ROOT is not set"));
-        let run = deploy_command(Path::new(&root), "run");
+        let root = argument(2);
+        let run = deploy_command(&root, "run");
         let address = free_address();
-        let folder = std::env::temp_dir().join(format!("review-2-{}-{}", std::process::id(), address.port()));
-        std::fs::create_dir_all(&folder).unwrap_or_else(|error| cannot_run(&error.to_string()));
+        let folder = temporary_folder("n0");
         let path = folder.join("config.json");
         std::fs::write(&path, config.text(address)).unwrap_or_else(|error| cannot_run(&error.to_string()));
-        let child = Command::new("/bin/sh")
+        record.line(&format!("node: its configuration: {}", config.text(address)));
+        let mut command = Command::new("/bin/sh");
+        let child = end_with_this_process(&mut command)
             .args(["-c", &run])
             .current_dir(&root)
             .env("LB_CONFIG", &path)
