--- a/review/stand-ins-2/src/bin/long-writes-in-pieces.rs
+++ b/review/stand-ins-2/src/bin/long-writes-in-pieces.rs
@@ -11,11 +11,11 @@
 const MEMORY_MB: u64 = 192;
 const SOCKETS: u32 = 1024;
 /// The clients that write a long request, and their requests: a value of 64 KiB in pieces of 64 bytes.
-const WRITERS: u32 = 64;
+const WRITERS: u32 = 80;
 const VALUE_BYTES: usize = 64 << 10;
 const PIECE_BYTES: usize = 64;
-/// From one piece to the next: a request is written within 1.9 s.
-const STEP: Duration = Duration::from_micros(1_800);
+/// The pause after each piece: a request is written within 1.7 s.
+const PAUSE: Duration = Duration::from_micros(1_500);
 const DEADLINE_MS: u64 = 2_000;
 /// The clients that read beside them, and how long each rests between two reads.
 const READERS: u32 = 192;
@@ -110,8 +110,10 @@
     let began = Instant::now();
     let size = if trouble() { PIECE_BYTES } else { text.len() };
     let mut written = true;
-    for (index, piece) in (0..).zip(text.as_bytes().chunks(size)) {
-        thread::sleep((began + STEP * index).saturating_duration_since(Instant::now()));
+    for (index, piece) in text.as_bytes().chunks(size).enumerate() {
+        if index > 0 {
+            thread::sleep(PAUSE);
+        }
         written = written && client.write_all(piece).is_ok();
         if !written {
             break;
